--- /dev/null
+++ b/src/main/kotlin/oxbowlug/cli/Logging.kt
@@ -0,0 +1,26 @@
+package oxbowlug.cli
+
+import oxbowlug.config.InvalidSettings
+
+/** Logging is set up in code: no configuration file is looked for when the process starts. */
+object Logging {
+    private const val PREFIX = "org.slf4j.simpleLogger."
+    private val levels = setOf("error", "warn", "info", "debug")
+
+    fun configure(level: String?) {
+        val chosen = if (level.isNullOrEmpty()) "info" else level.lowercase()
+        if (chosen !in levels) throw InvalidSettings("LOG_LEVEL: must be one of ${levels.joinToString(", ")}")
+        set("defaultLogLevel", chosen)
+        set("showThreadName", "false")
+        set("showDateTime", "true")
+        set("dateTimeFormat", "HH:mm:ss.SSS")
+        // The libraries' own chatter is of no use to operators.
+        set("log.io.netty", "error")
+        set("log.io.vertx", "error")
+        set("log.io.micrometer", "error")
+    }
+
+    private fun set(name: String, value: String) {
+        System.setProperty(PREFIX + name, value)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/cli/Service.kt
@@ -0,0 +1,113 @@
+package oxbowlug.cli
+
+import io.vertx.core.Context
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.core.file.FileSystemOptions
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import org.slf4j.LoggerFactory
+import oxbowlug.api.ClientServer
+import oxbowlug.api.ServiceMetrics
+import oxbowlug.cloud.CloudClient
+import oxbowlug.config.Settings
+import oxbowlug.core.Clock
+import oxbowlug.core.Command
+import oxbowlug.core.Core
+import oxbowlug.core.Member
+import oxbowlug.http.HttpCaller
+import oxbowlug.peer.PeerLink
+import oxbowlug.state.StateClient
+import oxbowlug.worker.WorkerClient
+import java.security.SecureRandom
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/** Wires the core to its adapters, all on one event loop. */
+class Service(private val settings: Settings) {
+    private lateinit var core: Core
+    private var draining = false
+
+    fun start() {
+        tune()
+        val vertx = Vertx.vertx(
+            VertxOptions()
+                .setEventLoopPoolSize(1)
+                .setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1)
+                .setPreferNativeTransport(false)
+                .setBlockedThreadCheckInterval(1)
+                .setBlockedThreadCheckIntervalUnit(TimeUnit.HOURS)
+                .setFileSystemOptions(FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)),
+        )
+        val context = vertx.getOrCreateContext()
+        context.runOnContext { run(vertx, context) }
+    }
+
+    private fun run(vertx: Vertx, context: Context) {
+        val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
+        val metrics = ServiceMetrics()
+        val settle: (() -> Unit) -> Unit = { action -> if (!core.offer(Command.Settled(action))) overflow() }
+        val leaseMs = (settings.workers.leaseS * 1000).toLong()
+        val state = StateClient(
+            settings.stateAddress, HttpCaller(vertx, STATE_CONNECTIONS), scope, leaseMs / 5, settle,
+        )
+        val cloud = CloudClient(
+            settings.cloudAddress, HttpCaller(vertx, CLOUD_CONNECTIONS), scope, leaseMs / 2, settle,
+        )
+        val workers = WorkerClient(HttpCaller(vertx, 1), scope, leaseMs / 5, settle)
+        val seed = SecureRandom.getInstance("NativePRNGNonBlocking").nextLong()
+        val random = Random(seed)
+        val self = Member(settings.label, random.nextLong().toULong().toString(36))
+        core = Core(settings, self, state, cloud, workers, SystemClock, metrics, random) { wake(context) }
+        metrics.watch(core)
+        PeerLink(vertx, settings, leaseMs / 20, core::news) { core.offer(Command.HeardPeer(it)) }.start()
+        ClientServer(vertx, settings, core, metrics::text).start()
+            .onSuccess { log.info("{} serves on {}", settings.label, settings.clientListen) }
+            .onFailure {
+                log.error("cannot listen on {}: {}", settings.clientListen, it.message)
+                Runtime.getRuntime().halt(1)
+            }
+        vertx.setPeriodic((settings.workers.reportS * 50).toLong().coerceAtLeast(10)) { core.offer(Command.Tick) }
+        core.offer(Command.Tick)
+    }
+
+    /** One drain is scheduled for however many commands come until it runs. */
+    private fun wake(context: Context) {
+        if (draining) return
+        draining = true
+        context.runOnContext {
+            draining = false
+            core.drain()
+        }
+    }
+
+    private fun overflow() {
+        // An outcome must not be lost: the model would wait for it for ever.
+        log.error("the command queue overflows")
+        Runtime.getRuntime().halt(1)
+    }
+
+    private fun tune() {
+        // Names are never looked up, and the buffers are few: the defaults are meant for much larger machines.
+        System.setProperty("vertx.disableDnsResolver", "true")
+        System.setProperty("vertx.disableMetrics", "true")
+        System.setProperty("vertx.disableWebsockets", "true")
+        System.setProperty("io.netty.allocator.type", "unpooled")
+        System.setProperty("io.netty.recycler.maxCapacityPerThread", "0")
+        System.setProperty("io.netty.noUnsafe", "false")
+    }
+
+    private object SystemClock : Clock {
+        override fun steadyMs(): Long = System.nanoTime() / 1_000_000
+
+        override fun wallMs(): Long = System.currentTimeMillis()
+    }
+
+    private companion object {
+        const val STATE_CONNECTIONS = 12
+        const val CLOUD_CONNECTIONS = 3
+        val log = LoggerFactory.getLogger("service")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/config/Settings.kt
@@ -0,0 +1,71 @@
+package oxbowlug.config
+
+import oxbowlug.wire.ClassName
+import oxbowlug.wire.TeamName
+import oxbowlug.wire.Zone
+
+/** A setting that can't be used; the message names its field. */
+class InvalidSettings(message: String) : Exception(message)
+
+/** An IPv4 address and port: names are never looked up. */
+data class Address(val host: String, val port: Int) {
+    override fun toString(): String = "$host:$port"
+
+    companion object {
+        fun parse(text: String): Address? {
+            val colon = text.lastIndexOf(':')
+            if (colon <= 0) return null
+            val port = text.substring(colon + 1).toIntOrNull() ?: return null
+            return if (port in 1..65535) Address(text.substring(0, colon), port) else null
+        }
+    }
+}
+
+data class Peer(val label: String, val zone: Zone, val address: Address)
+
+/** A team's guarantee and limit. An infinite limit stands for the setting's 0: no limit. */
+data class Team(
+    val name: TeamName,
+    val guaranteedCores: Double,
+    val maxCores: Double,
+    val guaranteedGpus: Double,
+    val maxGpus: Double,
+)
+
+/** What the platform expects of a class's starts and ends. */
+sealed interface Objective {
+    data class Wait(val className: ClassName, val withinS: Double, val share: Double) : Objective
+
+    data class Deadline(val className: ClassName, val share: Double) : Objective
+
+    data class Guarantee(val withinS: Double, val share: Double) : Objective
+}
+
+data class WorkerSettings(val reportS: Double, val leaseS: Double, val cancelS: Double)
+
+data class StateSettings(val rps: Double, val writeRps: Double, val valueKb: Double, val txnOps: Int)
+
+data class CloudSettings(val rps: Double, val listLagS: Double)
+
+data class LimitSettings(val memoryMb: Double, val maxSockets: Int)
+
+data class Settings(
+    val label: String,
+    val zone: Zone,
+    val clientListen: Address,
+    val peerListen: Address,
+    val peers: List<Peer>,
+    val cloudAddress: Address,
+    val stateAddress: Address,
+    val zones: List<Zone>,
+    val skewMs: Double,
+    val teams: Map<TeamName, Team>,
+    val objectives: List<Objective>,
+    val workers: WorkerSettings,
+    val state: StateSettings,
+    val cloud: CloudSettings,
+    val limits: LimitSettings,
+    val policy: Policy,
+) {
+    val nodes: Int get() = peers.size + 1
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/Authority.kt
@@ -0,0 +1,174 @@
+package oxbowlug.core
+
+import org.slf4j.LoggerFactory
+import oxbowlug.wire.Change
+import oxbowlug.wire.Condition
+import oxbowlug.wire.Token
+import oxbowlug.wire.Transaction
+
+/** What this controller may do now. */
+sealed interface Role {
+    /** Leads, and believes in its own lease: may place, start, stop, rent and return. */
+    data class Leader(val view: View) : Role
+
+    /**
+     * Led when it last heard from the state service, which it no longer reaches. It goes on answering reports, so
+     * that running replicas outlive an outage, but starts nothing, and ends this when it learns of a newer epoch.
+     */
+    data class Caretaker(val view: View) : Role
+
+    /** Another one leads, as far as known. */
+    data class Follower(val leader: Member) : Role
+
+    data object Unknown : Role
+}
+
+/**
+ * This controller's lease, its member key, and the election. The view is changed by compare-and-set only, and only
+ * while the former leader's member key is gone, which the same transaction checks.
+ */
+class Authority(
+    private val self: Member,
+    private val state: StatePort,
+    private val clock: Clock,
+    private val timing: Timing,
+    private val replica: Replica,
+) {
+    private val memberKey = Keys.member(self)
+    private var lease: Long? = null
+    private var registered = false
+    private var registering = false
+    private var renewing = false
+    private var electing = false
+    private var believedUntil = Long.MIN_VALUE / 2
+    private var nextRenewalAt = 0L
+    private var nextElectionAt = 0L
+    private var newestEpoch = 0L
+    private var rumouredLeader: Member? = null
+
+    fun role(): Role {
+        val view = replica.view ?: return rumouredLeader?.let { Role.Follower(it) } ?: Role.Unknown
+        if (newestEpoch > view.epoch) {
+            val leader = rumouredLeader
+            return if (leader == null || leader == self) Role.Unknown else Role.Follower(leader)
+        }
+        if (view.leader != self) return Role.Follower(view.leader)
+        return if (leaseBelieved()) Role.Leader(view) else Role.Caretaker(view)
+    }
+
+    private fun leaseBelieved(): Boolean = registered && clock.steadyMs() < believedUntil
+
+    /** A peer or a worker's token shows that [epoch] was reached; [leader] may be unknown. */
+    fun hearOfEpoch(epoch: Long, leader: Member?) {
+        val known = maxOf(newestEpoch, replica.view?.epoch ?: 0)
+        if (epoch < known || (epoch == known && leader == null)) return
+        newestEpoch = epoch
+        if (leader != null) rumouredLeader = leader
+    }
+
+    fun tick() {
+        val now = clock.steadyMs()
+        if (!renewing && now >= nextRenewalAt) renew(now)
+        val held = lease
+        if (held != null && !registered && !registering) register(held)
+        if (registered && !electing && now >= nextElectionAt && replica.synced) standForElection(now)
+    }
+
+    private fun renew(now: Long) {
+        renewing = true
+        val held = lease
+        if (held == null) {
+            state.grant(timing.leaseLifeMs) { granted ->
+                renewing = false
+                lease = granted
+                registered = false
+                if (granted != null) {
+                    believedUntil = now + timing.leaseBeliefMs
+                    nextRenewalAt = now + timing.leaseTouchMs
+                    register(granted)
+                } else {
+                    nextRenewalAt = clock.steadyMs() + timing.retryMs()
+                }
+            }
+            return
+        }
+        state.touch(held) { outcome ->
+            renewing = false
+            when (outcome) {
+                TouchOutcome.RENEWED -> {
+                    // Counted from when the renewal was sent: the service may have done it at once.
+                    believedUntil = maxOf(believedUntil, now + timing.leaseBeliefMs)
+                    replica.contacted(now)
+                    nextRenewalAt = now + timing.leaseTouchMs
+                }
+                TouchOutcome.OVER -> {
+                    log.info("lease {} is over", held)
+                    lease = null
+                    registered = false
+                    believedUntil = Long.MIN_VALUE / 2
+                    nextRenewalAt = clock.steadyMs()
+                }
+                TouchOutcome.FAILED -> nextRenewalAt = clock.steadyMs() + timing.retryMs()
+            }
+        }
+    }
+
+    private fun register(held: Long) {
+        registering = true
+        val put = Change.Put(memberKey, mapOf("label" to self.label), held)
+        state.commit(Transaction(emptyList(), listOf(put))) { outcome ->
+            registering = false
+            when (outcome) {
+                is CommitOutcome.Applied -> if (lease == held) registered = true
+                CommitOutcome.Invalid -> if (lease == held) lease = null
+                is CommitOutcome.Conflict, CommitOutcome.Refused, CommitOutcome.Unanswered -> Unit
+            }
+        }
+    }
+
+    private fun standForElection(now: Long) {
+        val view = replica.view
+        if (view != null) {
+            val leaderKey = Keys.member(view.leader)
+            if (view.leader == self || replica.hasMember(leaderKey)) return
+        }
+        electing = true
+        // The jitter lets one candidate win without the others' writes being spent on the same key.
+        nextElectionAt = now + timing.retryMs()
+        val next = View(
+            epoch = maxOf(view?.epoch ?: 0L, newestEpoch) + 1,
+            token = Token(maxOf(view?.epoch ?: 0L, newestEpoch) + 1),
+            leader = self,
+            version = 0,
+        )
+        val conditions = ArrayList<Condition>()
+        conditions.add(Condition(Keys.VIEW, view?.version ?: 0))
+        if (view != null) conditions.add(Condition(Keys.member(view.leader), 0))
+        state.commit(Transaction(conditions, listOf(Change.Put(Keys.VIEW, next.encode())))) { outcome ->
+            electing = false
+            if (outcome is CommitOutcome.Applied) {
+                log.info("elected at epoch {}", next.epoch)
+            } else {
+                // Won or lost unseen: the watch tells, and a view that names us is taken up from there.
+                nextElectionAt = clock.steadyMs() + timing.retryMs()
+            }
+        }
+    }
+
+    /** Gives leadership up, so that a controller with better connections can take it. */
+    fun resign() {
+        val held = lease ?: return
+        log.info("resigning: lease {} is given back", held)
+        lease = null
+        registered = false
+        believedUntil = Long.MIN_VALUE / 2
+        val pause = timing.workerLeaseRawMs
+        nextRenewalAt = clock.steadyMs() + pause
+        nextElectionAt = clock.steadyMs() + pause
+        state.release(held)
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("authority")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/Command.kt
@@ -0,0 +1,36 @@
+package oxbowlug.core
+
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobSpec
+import oxbowlug.wire.Token
+import oxbowlug.wire.WorkerCommand
+import oxbowlug.wire.WorkerReport
+
+/** What adapters put into the owner's queue. */
+sealed interface Command {
+    class Submit(val spec: JobSpec, val answer: (UserAnswer) -> Unit) : Command
+
+    class Poll(val id: JobId, val answer: (UserAnswer) -> Unit) : Command
+
+    class Cancel(val id: JobId, val answer: (UserAnswer) -> Unit) : Command
+
+    class Report(val report: WorkerReport, val answer: (ReportAnswer) -> Unit) : Command
+
+    class HeardPeer(val news: PeerNews) : Command
+
+    /** The outcome of a call that the core made. */
+    class Settled(val action: () -> Unit) : Command
+
+    data object Tick : Command
+}
+
+sealed interface ReportAnswer {
+    data class Taken(val token: Token, val commands: List<WorkerCommand>) : ReportAnswer
+
+    data class Redirect(val label: String?) : ReportAnswer
+
+    data object Unavailable : ReportAnswer
+}
+
+/** What controllers tell one another: who they are, and the newest view that they know. */
+data class PeerNews(val sender: Member, val epoch: Long, val leader: Member?)
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -0,0 +1,169 @@
+package oxbowlug.core
+
+import org.agrona.concurrent.ManyToOneConcurrentArrayQueue
+import org.slf4j.LoggerFactory
+import oxbowlug.config.Settings
+import oxbowlug.wire.JobId
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.TypeName
+import oxbowlug.wire.WorkerReport
+import kotlin.random.Random
+
+/**
+ * The single owner of all state. Adapters offer commands to its queue; it works through them in batches, and
+ * whatever a batch changed is sent once, after it. Nothing else touches the model.
+ */
+class Core(
+    private val settings: Settings,
+    val self: Member,
+    private val state: StatePort,
+    private val cloud: CloudPort,
+    private val workers: WorkerPort,
+    private val clock: Clock,
+    private val meters: Meters,
+    random: Random,
+    private val wake: () -> Unit,
+) {
+    val timing = Timing(settings, random)
+    private val queue = ManyToOneConcurrentArrayQueue<Command>(QUEUE_CAPACITY)
+    private val replica = Replica(state, clock, timing, Listener())
+    private val authority = Authority(self, state, clock, timing, replica)
+
+    // The leader writes most, so half of the write rate is its own; the other half is shared by all.
+    private val leaderWrites = RateBudget(settings.state.writeRps * 0.5)
+    private val ownWrites = RateBudget(settings.state.writeRps * 0.5 / settings.nodes, settings.state.writeRps * 0.25)
+    private val cloudBudget = RateBudget(settings.cloud.rps * 0.8)
+    private val desk = Desk(self, settings, state, clock, timing, replica, ownWrites, meters)
+    private var types: Map<TypeName, MachineType> = emptyMap()
+    private var fetchingTypes = false
+    private var nextTypesAt = 0L
+    private var leader: Leader? = null
+
+    val queueDepth: Int get() = queue.size
+    val submissionsInProgress: Int get() = desk.inProgress
+    val submissionLimit: Int get() = desk.limit
+    val commitBacklog: Int get() = leader?.commitBacklog ?: 0
+    val waitingTasks: Int get() = leader?.waitingTasks ?: 0
+    val machineCount: Int get() = leader?.fleet?.machines?.size ?: 0
+    val epoch: Long get() = replica.view?.epoch ?: 0
+    val isLeading: Boolean get() = authority.role() is Role.Leader
+
+    /** False when the queue is full: the caller answers "unavailable" itself. */
+    fun offer(command: Command): Boolean {
+        val taken = queue.offer(command)
+        if (taken) wake()
+        return taken
+    }
+
+    /** Works through what is in the queue now. */
+    fun drain() {
+        var left = queue.size
+        while (left-- > 0) {
+            val command = queue.poll() ?: break
+            try {
+                handle(command)
+            } catch (e: RuntimeException) {
+                // One command's failure must not end the process with all that it holds.
+                log.error("{} failed", command.javaClass.simpleName, e)
+            }
+        }
+        leading()?.flush()
+    }
+
+    /** Whether users and workers can be served here. */
+    fun isHealthy(): Boolean =
+        replica.synced && types.isNotEmpty() && clock.steadyMs() - replica.lastContactMs < timing.stateAwayMs * 2
+
+    fun news(): PeerNews = PeerNews(self, replica.view?.epoch ?: 0, replica.view?.leader)
+
+    /** Who answers for a machine. With one part, the leader answers for all of them. */
+    private fun owner(@Suppress("UNUSED_PARAMETER") machine: MachineId, role: Role): Member? = when (role) {
+        is Role.Leader -> role.view.leader
+        is Role.Caretaker -> role.view.leader
+        is Role.Follower -> role.leader
+        Role.Unknown -> null
+    }
+
+    private fun handle(command: Command) {
+        when (command) {
+            is Command.Submit -> desk.submit(command.spec, types, command.answer)
+            is Command.Poll -> desk.poll(command.id, command.answer)
+            is Command.Cancel -> desk.cancel(command.id, command.answer)
+            is Command.Report -> command.answer(onReport(command.report))
+            is Command.HeardPeer -> authority.hearOfEpoch(command.news.epoch, command.news.leader)
+            is Command.Settled -> command.action()
+            Command.Tick -> tick()
+        }
+    }
+
+    private fun onReport(report: WorkerReport): ReportAnswer {
+        val role = authority.role()
+        val view = replica.view
+        if (view != null && report.token > view.token) authority.hearOfEpoch(report.token.value, null)
+        val owner = owner(report.machine, role) ?: return ReportAnswer.Unavailable
+        if (owner != self) return if (owner.label == self.label) ReportAnswer.Unavailable else ReportAnswer.Redirect(owner.label)
+        val leading = leading() ?: return ReportAnswer.Unavailable
+        if (report.token > leading.view.token) return ReportAnswer.Unavailable
+        val commands = leading.onReport(report, mayCommand = role is Role.Leader) ?: return ReportAnswer.Redirect(null)
+        return ReportAnswer.Taken(leading.view.token, commands)
+    }
+
+    private fun tick() {
+        replica.tick()
+        authority.tick()
+        val now = clock.steadyMs()
+        if (!fetchingTypes && now >= nextTypesAt) fetchTypes()
+        if (authority.role() is Role.Leader) leading()?.tick(types)
+    }
+
+    /** The leader's model under the present view; made once the copy holds all that was committed before it. */
+    private fun leading(): Leader? {
+        val view = replica.view
+        val present = leader
+        if (view == null || view.leader != self || authority.role() is Role.Follower) {
+            leader = null
+            return null
+        }
+        if (present != null && present.view.version == view.version) return if (present.deposed) null else present
+        if (!replica.synced || replica.revision < view.version) return null
+        log.info("leading at epoch {}", view.epoch)
+        val next = Leader(
+            view, self, settings, state, cloud, workers, clock, timing, replica, leaderWrites, cloudBudget, meters,
+        )
+        leader = next
+        return next
+    }
+
+    private fun fetchTypes() {
+        fetchingTypes = true
+        cloud.types { fetched ->
+            fetchingTypes = false
+            val now = clock.steadyMs()
+            if (fetched == null) {
+                nextTypesAt = now + timing.retryMs() * 2
+            } else {
+                types = fetched.associateBy { it.name }
+                // Only the leader needs the present spot prices.
+                nextTypesAt = now + timing.typesEveryMs * if (isLeading) 1 else 6
+            }
+        }
+    }
+
+    private inner class Listener : ReplicaListener {
+        override fun onView(view: View) {
+            log.info("epoch {} is led by {}", view.epoch, view.leader.label)
+        }
+
+        override fun onJob(id: JobId, job: StoredJob) {
+            leader?.fleet?.takeJob(id, job)
+        }
+
+        override fun onMembers() = Unit
+    }
+
+    private companion object {
+        const val QUEUE_CAPACITY = 4096
+        val log = LoggerFactory.getLogger("core")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/Desk.kt
@@ -0,0 +1,183 @@
+package oxbowlug.core
+
+import oxbowlug.config.Settings
+import oxbowlug.plan.amounts
+import oxbowlug.wire.Change
+import oxbowlug.wire.Condition
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.JobSpec
+import oxbowlug.wire.JobView
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.ShownState
+import oxbowlug.wire.Transaction
+import oxbowlug.wire.TypeName
+import java.util.BitSet
+
+sealed interface UserAnswer {
+    data class Accepted(val view: JobView) : UserAnswer
+
+    data class Known(val view: JobView) : UserAnswer
+
+    data class Rejected(val problem: String) : UserAnswer
+
+    data object NotFound : UserAnswer
+
+    /** Can't be decided now: come back after [retryAfterS]. */
+    data class Unavailable(val retryAfterS: Int, val why: String) : UserAnswer
+
+    /** More is asked than can be done. */
+    data class Overloaded(val retryAfterS: Int) : UserAnswer
+}
+
+/** Answers users. Every controller does, each with the same answers, because each first catches up with the store. */
+class Desk(
+    private val self: Member,
+    private val settings: Settings,
+    private val state: StatePort,
+    private val clock: Clock,
+    private val timing: Timing,
+    private val replica: Replica,
+    private val budget: RateBudget,
+    private val meters: Meters,
+) {
+    private val admission = AdmissionLimit()
+    private var writes = 0L
+    val inProgress: Int get() = admission.inProgress
+    val limit: Int get() = admission.limit
+
+    fun submit(spec: JobSpec, types: Map<TypeName, MachineType>, answer: (UserAnswer) -> Unit) {
+        val now = clock.steadyMs()
+        if (!replica.synced || !stateReachable(now)) return answer(unavailable("the state service is away"))
+        // A repeated submission is answered whatever has changed since: it was accepted.
+        if (replica.job(spec.id) != null) return answerKnown(spec.id, answer)
+        if (types.isEmpty()) return answer(unavailable("the machine types are not known yet"))
+        Admission.problem(spec, settings, types)?.let { problem ->
+            // Never told of a job that another controller accepted, perhaps under older types.
+            return replica.catchUp { ok ->
+                when {
+                    !ok -> answer(unavailable("the state service is away"))
+                    replica.job(spec.id) != null -> answer(UserAnswer.Known(view(spec.id)))
+                    else -> answer(UserAnswer.Rejected(problem))
+                }
+            }
+        }
+        if (!admission.tryEnter() || !budget.tryTake(1.0, now)) {
+            meters.refused("overload")
+            return answer(UserAnswer.Overloaded(RETRY_AFTER_S))
+        }
+        accept(spec, now, answer)
+    }
+
+    private fun accept(spec: JobSpec, now: Long, answer: (UserAnswer) -> Unit) {
+        val record = JobRecord(
+            spec, clock.wallMs(), Phase.ACTIVE, BitSet(), 1, emptyMap(), "${self.incarnation}-a${writes++}",
+        )
+        val key = Keys.job(spec.id.value)
+        val transaction = Transaction(listOf(Condition(key, 0)), listOf(Change.Put(key, record.encode())))
+        state.commit(transaction) { outcome ->
+            val tookMs = clock.steadyMs() - now
+            admission.leave(tookMs, outcome is CommitOutcome.Applied)
+            meters.committed(tookMs)
+            when (outcome) {
+                is CommitOutcome.Applied -> answer(UserAnswer.Accepted(JobView(spec.id, ShownState.QUEUED, 0, 0)))
+                is CommitOutcome.Conflict -> answerKnown(spec.id, answer)
+                CommitOutcome.Refused -> answer(unavailable("the state service is busy"))
+                CommitOutcome.Invalid -> answer(unavailable("the state service did not take it"))
+                // Settled by reading, never guessed; if it isn't there it may still come, and the user asks again.
+                CommitOutcome.Unanswered -> answerKnown(spec.id, answer)
+            }
+        }
+    }
+
+    private fun answerKnown(id: JobId, answer: (UserAnswer) -> Unit) {
+        val stored = replica.job(id)
+        if (stored != null && stored.phase.isFinal) return answer(UserAnswer.Known(stored.view(id)))
+        replica.catchUp { ok ->
+            if (ok && replica.job(id) != null) answer(UserAnswer.Known(view(id)))
+            else answer(unavailable("the state service is away"))
+        }
+    }
+
+    fun poll(id: JobId, answer: (UserAnswer) -> Unit) {
+        val stored = replica.job(id)
+        if (stored != null && stored.phase.isFinal) return answer(UserAnswer.Known(stored.view(id)))
+        replica.catchUp { ok ->
+            when {
+                !ok -> answer(unavailable("the state service is away"))
+                replica.job(id) != null -> answer(UserAnswer.Known(view(id)))
+                else -> answer(UserAnswer.NotFound)
+            }
+        }
+    }
+
+    fun cancel(id: JobId, answer: (UserAnswer) -> Unit) = cancel(id, CANCEL_TRIES, answer)
+
+    /** The cancellation is committed first and answered next; only then does the leader act on it. */
+    private fun cancel(id: JobId, triesLeft: Int, answer: (UserAnswer) -> Unit) {
+        replica.catchUp { ok ->
+            val stored = replica.job(id)
+            val value = stored?.value
+            when {
+                !ok -> answer(unavailable("the state service is away"))
+                stored == null -> answer(UserAnswer.NotFound)
+                stored.phase.isFinal || value == null -> answer(UserAnswer.Known(stored.view(id)))
+                triesLeft == 0 -> answer(unavailable("the job keeps changing"))
+                else -> commitCancel(id, stored, value, triesLeft, answer)
+            }
+        }
+    }
+
+    private fun commitCancel(
+        id: JobId,
+        stored: StoredJob,
+        value: Map<String, Any?>,
+        triesLeft: Int,
+        answer: (UserAnswer) -> Unit,
+    ) {
+        val key = Keys.job(id.value)
+        // All but the phase stays as the leader wrote it, so the leader knows its own record under the change.
+        val cancelled = LinkedHashMap(value)
+        cancelled["phase"] = Phase.CANCELLED.wire
+        val transaction = Transaction(listOf(Condition(key, stored.version)), listOf(Change.Put(key, cancelled)))
+        budget.take(1.0, clock.steadyMs())
+        state.commit(transaction) { outcome ->
+            when (outcome) {
+                is CommitOutcome.Applied ->
+                    answer(UserAnswer.Known(JobView(id, ShownState.CANCELLED, stored.done, 0)))
+                is CommitOutcome.Conflict, CommitOutcome.Unanswered -> cancel(id, triesLeft - 1, answer)
+                CommitOutcome.Refused, CommitOutcome.Invalid -> answer(unavailable("the state service is busy"))
+            }
+        }
+    }
+
+    private fun view(id: JobId): JobView = replica.job(id)?.view(id) ?: error("$id was just there")
+
+    private fun stateReachable(now: Long): Boolean = now - replica.lastContactMs < timing.stateAwayMs
+
+    private fun unavailable(why: String): UserAnswer {
+        meters.refused(why)
+        return UserAnswer.Unavailable(RETRY_AFTER_S, why)
+    }
+
+    private companion object {
+        const val RETRY_AFTER_S = 1
+        const val CANCEL_TRIES = 5
+    }
+}
+
+/** What can never run, and so is refused for good. */
+object Admission {
+    fun problem(spec: JobSpec, settings: Settings, types: Map<TypeName, MachineType>): String? {
+        val team = settings.teams[spec.team] ?: return "yoke: is not a known team"
+        val need = spec.amounts()
+        val fits = types.values.any { type ->
+            (spec.types == null || type.name in spec.types) && (spec.zone == null || spec.zone in type.zones) &&
+                need.fitsIn(type.amounts())
+        }
+        if (!fits) return "a task fits no allowed machine type"
+        val atOnce = if (spec.kind == JobKind.SERVICE) spec.tasks else 1
+        if (spec.cores * atOnce > team.maxCores || spec.gpus * atOnce > team.maxGpus) return "needs more than the team's limit"
+        return null
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -0,0 +1,332 @@
+package oxbowlug.core
+
+import org.slf4j.LoggerFactory
+import oxbowlug.config.Address
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.ExitCause
+import oxbowlug.wire.ImageName
+import oxbowlug.wire.JobId
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.ReportedTask
+import oxbowlug.wire.TaskState
+import oxbowlug.wire.Token
+import oxbowlug.wire.WorkerCommand
+import oxbowlug.wire.WorkerReport
+
+/**
+ * Jobs and machines as their leader knows them, kept in step. An attempt leaves the account only by one of the
+ * proofs in docs/safety.md; silence, a refused connection or a young list prove nothing.
+ */
+class Fleet(val token: Token, private val clock: Clock, private val timing: Timing) {
+    val jobs = LinkedHashMap<JobId, Job>()
+    val machines = LinkedHashMap<MachineId, Machine>()
+
+    /** Returned, failed or vanished: late messages of theirs are not believed any more. */
+    private val gone = HashSet<MachineId>()
+
+    /** Something changed that a new plan could use. */
+    var planWanted = true
+
+    /** Machines whose commands changed and that should hear of it directly. */
+    val pokes = LinkedHashSet<MachineId>()
+
+    fun isGone(id: MachineId): Boolean = id in gone
+
+    fun machine(id: MachineId): Machine? {
+        if (id in gone) return null
+        return machines.getOrPut(id) { Machine(id, clock.steadyMs()) }
+    }
+
+    fun takeJob(id: JobId, stored: StoredJob) {
+        val value = stored.value
+        val present = jobs[id]
+        val now = clock.steadyMs()
+        if (present == null) {
+            if (value == null) return
+            val record = JobRecord.decode(value)
+            val job = Job(record, stored.version)
+            if (record.phase == Phase.CANCELLED) job.cancelledAt = now
+            jobs[id] = job
+            job.liveFrom(record)
+            attachAll(job)
+            planWanted = true
+            return
+        }
+        if (stored.version <= present.version) return
+        // Without a value: a final record without placements, so a cancellation of a job that had none.
+        val record = if (value == null) cancelledCopy(present) else JobRecord.decode(value)
+        val old = present.live.values.toList()
+        if (present.foreignWrite(record, stored.version, now)) {
+            for (placed in old) machines[placed.machine]?.live?.remove(placed.attempt)
+            attachAll(present)
+        }
+        if (present.phase == Phase.CANCELLED) stopCancelled(present)
+        planWanted = true
+    }
+
+    private fun cancelledCopy(job: Job): JobRecord =
+        JobRecord(job.spec, job.submittedMs, Phase.CANCELLED, job.done, job.nextAttempt, emptyMap(), CANCELLED_BY_OTHER)
+
+    private fun attachAll(job: Job) {
+        for (placed in job.live.values.toList()) {
+            val host = machine(placed.machine)
+            if (host == null) remove(placed) else host.live[placed.attempt] = placed
+        }
+    }
+
+    private fun stopCancelled(job: Job) {
+        for (placed in job.live.values.toList()) {
+            val host = machines[placed.machine]
+            if (host == null || !placed.committed || !host.mayBeThere(placed, token)) remove(placed) else pokes.add(host.id)
+        }
+    }
+
+    fun place(job: Job, task: Int, host: Machine) {
+        val placed = job.place(task, host.id, clock.steadyMs())
+        host.live[placed.attempt] = placed
+        host.idleSince = null
+    }
+
+    fun stop(placed: Live, reason: StopReason) {
+        placed.stop = reason
+        val host = machines[placed.machine]
+        if (host == null || !placed.committed || !host.mayBeThere(placed, token)) remove(placed) else pokes.add(host.id)
+    }
+
+    /** The attempt is gone, or was never there. */
+    private fun remove(placed: Live) {
+        placed.job.drop(placed.task, clock.steadyMs())
+        machines[placed.machine]?.live?.remove(placed.attempt)
+        planWanted = true
+    }
+
+    /** Proof 1: what the worker itself says. [hello] is false for the answers of direct commands. */
+    fun hear(report: WorkerReport, hello: Boolean): Machine? {
+        val host = machine(report.machine) ?: return null
+        val now = clock.steadyMs()
+        val stamp = Stamp(report.session, report.sequence)
+        if (report.session <= host.endedSession) return host
+        if (hello) {
+            // A copy of an older report renews nothing and proves nothing.
+            if (stamp <= host.lastHello) return host
+            host.lastHello = stamp
+            host.answeredAt = now
+        }
+        if (stamp <= host.stamp) return host
+        if (report.session > host.stamp.session || report.token > host.token) {
+            // Direct commands carry session and token, so those of an earlier one can't be executed any more.
+            host.unresolved.clear()
+        }
+        if (report.session > host.stamp.session) host.images.clear()
+        val firstHeard = host.heardAt == null
+        host.stamp = stamp
+        host.token = report.token
+        host.heardAt = now
+        host.lost = false
+        host.type = report.type
+        host.zone = report.zone
+        host.spot = report.spot
+        host.endpoint = Address.parse(report.endpoint)
+        host.noticeUntil = report.noticeS?.let { now + (it * 1000).toLong() }
+        host.tasks = report.tasks.associateBy { it.attempt }
+        if (firstHeard) planWanted = true
+        takeTasks(host, stamp, hello, now)
+        return host
+    }
+
+    private fun takeTasks(host: Machine, stamp: Stamp, hello: Boolean, now: Long) {
+        val settled = host.isSettled(token)
+        for (placed in host.live.values.toList()) {
+            val seen = host.tasks[placed.attempt]
+            if (seen != null) {
+                placed.answeredAt = null
+                placed.inherited = false
+                host.deaf = false
+                takeSeen(host, placed, seen, now)
+                continue
+            }
+            if (settled) placed.inherited = false
+            val answered = placed.answeredAt
+            // One report is in flight at a time: after a newer one, an older answer is executed or dropped for good.
+            if (hello && answered != null && stamp > answered) placed.answeredAt = null
+            placed.seen = null
+            if (host.mayBeThere(placed, token)) continue
+            if (!placed.isWanted) {
+                remove(placed)
+            } else if (hello && placed.isOverdue(now, timing.workerLeaseRawMs)) {
+                // Its reports arrive, but what we say does not: the work goes elsewhere.
+                log.info("{} does not take {}", host.id, placed.attempt)
+                host.deaf = true
+                remove(placed)
+            }
+        }
+        for (task in host.tasks.values) if (task.attempt !in host.live) takeStranger(task, now)
+    }
+
+    private fun takeSeen(host: Machine, placed: Live, seen: ReportedTask, now: Long) {
+        val job = placed.job
+        if (seen.state == TaskState.RUNNING && placed.seen != TaskState.RUNNING) {
+            placed.seenRunningAt = now
+            host.images.remove(job.spec.image)
+            host.images.add(job.spec.image)
+        }
+        placed.seen = seen.state
+        if (seen.state != TaskState.EXITED) return
+        when (seen.cause) {
+            ExitCause.DONE -> {
+                host.images.add(job.spec.image)
+                host.failedJobs.clear()
+                job.failures = 0
+                job.markDone(placed.task, now)
+            }
+            ExitCause.STOPPED -> Unit
+            ExitCause.ERROR -> Failures.onError(host, job, now, timing)
+            ExitCause.FULL, ExitCause.BUSY, ExitCause.UNKNOWN, ExitCause.PEERS_GONE, ExitCause.ALONE,
+            ExitCause.OTHER, null,
+            -> {
+                log.info("{} was refused on {}: {}", placed.attempt, host.id, seen.cause)
+                Failures.onRefused(host, job, now, timing)
+            }
+        }
+        remove(placed)
+    }
+
+    /** A result of an attempt that we had given up: it counts if its task isn't placed again. */
+    private fun takeStranger(task: ReportedTask, now: Long) {
+        if (task.state != TaskState.EXITED || task.cause != ExitCause.DONE) return
+        val job = jobs[task.attempt.task.job] ?: return
+        val index = task.attempt.task.index
+        if (job.phase != Phase.ACTIVE || index >= job.spec.tasks || job.done.get(index) || index in job.live) return
+        job.markDone(index, now)
+        planWanted = true
+    }
+
+    /** What the machine should be told, computed afresh from what is wanted and what it last showed. */
+    fun commands(host: Machine, now: Long): List<WorkerCommand> {
+        val result = ArrayList<WorkerCommand>()
+        for (placed in host.live.values) {
+            val seen = host.tasks[placed.attempt]
+            when {
+                seen == null -> if (placed.committed) addStart(host, placed, now, result)
+                seen.state == TaskState.EXITED -> Unit
+                !placed.isWanted -> stop(placed, seen)?.let(result::add)
+            }
+        }
+        for (task in host.tasks.values) {
+            if (task.attempt in host.live) continue
+            when {
+                task.state != TaskState.EXITED -> result.add(WorkerCommand.Stop(task.attempt, 0.0))
+                mayForget(host, task.attempt) -> result.add(WorkerCommand.Forget(task.attempt))
+            }
+        }
+        return result
+    }
+
+    private fun addStart(host: Machine, placed: Live, now: Long, result: ArrayList<WorkerCommand>) {
+        if (placed.isWanted) {
+            result.add(WorkerCommand.Start(placed.attempt))
+            return
+        }
+        // A direct start may still be on its way, and a stop alone would be too early for it. Started and stopped
+        // at once, the attempt stays known as exited, and the late copy has no effect.
+        val cancelledAt = placed.job.cancelledAt
+        val inTime = cancelledAt == null || now < cancelledAt + timing.cancelPatienceMs / 2
+        if (placed.attempt in host.unresolved && inTime) {
+            result.add(WorkerCommand.Start(placed.attempt))
+            result.add(WorkerCommand.Stop(placed.attempt, 0.0))
+        }
+    }
+
+    private fun stop(placed: Live, seen: ReportedTask): WorkerCommand? {
+        val spec = placed.job.spec
+        if (placed.job.phase != Phase.ACTIVE) return WorkerCommand.Stop(placed.attempt, 0.0)
+        if (seen.state == TaskState.SAVING) return null
+        return WorkerCommand.Stop(placed.attempt, if (spec.savesWork) spec.saveS else 0.0)
+    }
+
+    /** Forgetting makes a repeated start effective again, so no start of the attempt may be on its way. */
+    private fun mayForget(host: Machine, attempt: Attempt): Boolean {
+        if (attempt in host.unresolved || attempt in host.directInFlight) return false
+        val job = jobs[attempt.task.job] ?: return true
+        return !job.isStored(attempt)
+    }
+
+    /** Proof 4: the lease that our last answer renewed is over, and no other token can have renewed it. */
+    fun expire(host: Machine, now: Long): Boolean {
+        val answered = host.answeredAt ?: return false
+        if (host.lost || host.token != token || now < answered + timing.workerExpiryMs) return false
+        log.info("{} is silent and its lease is over, {} attempts are gone", host.id, host.live.size)
+        host.lost = true
+        host.endedSession = host.stamp.session
+        host.unresolved.clear()
+        host.tasks = emptyMap()
+        for (placed in host.live.values.toList()) {
+            placed.answeredAt = null
+            remove(placed)
+        }
+        planWanted = true
+        return true
+    }
+
+    /** Proofs 2 and 3: the cloud took it back, lists it as failed, or lists it no more. */
+    fun removeMachine(id: MachineId, why: String) {
+        gone.add(id)
+        val host = machines[id] ?: return
+        log.info("{} is gone: {}, {} attempts with it", id, why, host.live.size)
+        for (placed in host.live.values.toList()) remove(placed)
+        machines.remove(id)
+        planWanted = true
+    }
+
+    /** Attempts on machines that an earlier proof removed. */
+    fun sweep() {
+        for (job in jobs.values) {
+            for (placed in job.live.values.toList()) if (placed.machine in gone) remove(placed)
+        }
+    }
+
+    /** Not before the copy has caught up with our last write: an older event would bring the job back to life. */
+    fun forgetFinished(replica: Replica) {
+        jobs.values.removeIf { job ->
+            job.phase.isFinal && job.live.isEmpty() && job.dirtySince == null && !job.isWriting &&
+                (replica.job(job.id)?.version ?: 0) >= job.version
+        }
+    }
+
+    fun fetching(host: Machine): Set<ImageName> {
+        val result = HashSet<ImageName>()
+        for (placed in host.live.values) {
+            val image = placed.job.spec.image
+            if (placed.seen != TaskState.RUNNING && placed.seen != TaskState.SAVING && image !in host.images) result.add(image)
+        }
+        return result
+    }
+
+    private companion object {
+        const val CANCELLED_BY_OTHER = "other"
+        val log = LoggerFactory.getLogger("fleet")
+    }
+}
+
+/** Errors suspect the machine first; the same job failing on several machines suspects the job. */
+object Failures {
+    private const val JOBS_TO_SUSPECT_MACHINE = 2
+    private const val MACHINES_TO_SUSPECT_JOB = 3
+    private const val MAX_DOUBLINGS = 6
+
+    fun onError(host: Machine, job: Job, now: Long, timing: Timing) {
+        job.failures++
+        job.failedOn.add(host.id)
+        job.avoid[host.id] = now + timing.avoidMs
+        host.failedJobs.add(job.id.value)
+        if (host.failedJobs.size >= JOBS_TO_SUSPECT_MACHINE) host.quarantined = true
+        if (job.failedOn.size >= MACHINES_TO_SUSPECT_JOB) {
+            val doublings = (job.failedOn.size - MACHINES_TO_SUSPECT_JOB).coerceAtMost(MAX_DOUBLINGS)
+            job.holdUntil = now + (timing.errorPauseMs shl doublings)
+        }
+    }
+
+    fun onRefused(host: Machine, job: Job, now: Long, timing: Timing) {
+        job.avoid[host.id] = now + timing.refusedPauseMs
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -0,0 +1,171 @@
+package oxbowlug.core
+
+import oxbowlug.config.Settings
+import oxbowlug.plan.Planner
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineState
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.TaskState
+import oxbowlug.wire.TypeName
+import oxbowlug.wire.WorkerCommand
+import oxbowlug.wire.WorkerReport
+
+/** What a leader has beside its model: everything here ends with its view. */
+class Leader(
+    val view: View,
+    self: Member,
+    private val settings: Settings,
+    state: StatePort,
+    cloud: CloudPort,
+    private val workers: WorkerPort,
+    private val clock: Clock,
+    private val timing: Timing,
+    private val replica: Replica,
+    writeBudget: RateBudget,
+    cloudBudget: RateBudget,
+    private val meters: Meters,
+) {
+    private val startedAt = clock.steadyMs()
+    val fleet = Fleet(view.token, clock, timing)
+    private val commits = Commits(view, self, settings, state, clock, timing, writeBudget, replica, fleet)
+    private val rentals = Rentals(self, settings, cloud, clock, timing, cloudBudget, fleet)
+    private val planning = Planning(settings, clock, timing, fleet, rentals, startedAt)
+    private var nextPlanAt = 0L
+    private var nextRoundAt = 0L
+    private var reserved: Set<MachineId> = emptySet()
+    private var unplaced = 0
+
+    val deposed: Boolean get() = commits.deposed
+    val commitBacklog: Int get() = commits.backlog
+    val waitingTasks: Int get() = unplaced
+
+    init {
+        replica.forEachActive { id, stored -> fleet.takeJob(id, stored) }
+    }
+
+    /** A report under our lead. Null: the machine is gone for us, and nothing may renew it. */
+    fun onReport(report: WorkerReport, mayCommand: Boolean): List<WorkerCommand>? {
+        val host = fleet.hear(report, hello = true) ?: return null
+        if (!mayCommand || report.session <= host.endedSession) return emptyList()
+        val stamp = Stamp(report.session, report.sequence)
+        // The answer to a copy goes nowhere; it must not look as if the worker had been told.
+        if (stamp < host.lastHello) return emptyList()
+        val commands = fleet.commands(host, clock.steadyMs())
+        for (command in commands) {
+            if (command is WorkerCommand.Start) host.live[command.attempt]?.sentInAnswer(stamp, clock.steadyMs())
+        }
+        return commands
+    }
+
+    fun tick(types: Map<TypeName, MachineType>) {
+        val now = clock.steadyMs()
+        for (host in fleet.machines.values.toList()) watchOver(host, now, types)
+        fleet.sweep()
+        rentals.tick(types)
+        if (types.isNotEmpty() && (now >= nextRoundAt || (fleet.planWanted && now >= nextPlanAt))) plan(types, now)
+        flush()
+        fleet.forgetFinished(replica)
+    }
+
+    /** Sends what the last batch of commands changed. */
+    fun flush() {
+        commits.flush()
+        val now = clock.steadyMs()
+        if (fleet.pokes.isEmpty()) return
+        for (id in fleet.pokes.toList()) {
+            val host = fleet.machines[id]
+            if (host == null || commandDirectly(host, now)) fleet.pokes.remove(id)
+        }
+    }
+
+    private fun plan(types: Map<TypeName, MachineType>, now: Long) {
+        fleet.planWanted = false
+        val began = System.nanoTime()
+        val plan = Planner(planning.snapshot(types)).plan()
+        meters.planned(System.nanoTime() - began)
+        planning.apply(plan)
+        reserved = plan.reserved
+        unplaced = plan.unplaced
+        nextPlanAt = now + timing.planGapMs
+        val soon = plan.unplaced > 0 || plan.reserved.isNotEmpty() || fleet.jobs.values.any { now < it.holdUntil }
+        nextRoundAt = now + if (soon) timing.replanSoonMs else (settings.policy.replanS * 1000).toLong()
+    }
+
+    private fun watchOver(host: Machine, now: Long, types: Map<TypeName, MachineType>) {
+        fleet.expire(host, now)
+        drain(host, now)
+        for (placed in host.live.values) {
+            val cancelledAt = placed.job.cancelledAt ?: continue
+            // A cancelled task that we can't see ended in time is ended with its machine.
+            if (now > cancelledAt + timing.cancelPatienceMs) rentals.scheduleReturn(host, "holds cancelled work")
+        }
+        if (host.returning) return
+        val silentMs = (settings.policy.silentLeases * timing.workerLeaseRawMs).toLong()
+        val lastHeard = host.heardAt ?: maxOf(startedAt, host.knownSince)
+        val expected = host.heardAt != null || host.listed == MachineState.RUNNING
+        if (expected && now - lastHeard > silentMs && mostAreHeard(now)) rentals.scheduleReturn(host, "silent")
+        if (host.quarantined && host.live.isEmpty()) rentals.scheduleReturn(host, "fails its tasks")
+        returnIdle(host, now, types)
+    }
+
+    /** If most machines are silent, the trouble is ours, and returning them would make it worse. */
+    private fun mostAreHeard(now: Long): Boolean {
+        val expected = fleet.machines.values.count { it.heardAt != null || it.listed == MachineState.RUNNING }
+        val heard = fleet.machines.values.count { host -> host.heardAt?.let { now - it <= timing.quietMs } ?: false }
+        return heard * 2 > expected
+    }
+
+    /** Tasks that can save are stopped just in time for it; others run on until the cloud takes the machine. */
+    private fun drain(host: Machine, now: Long) {
+        val until = host.noticeUntil ?: return
+        for (placed in host.live.values.toList()) {
+            val spec = placed.job.spec
+            if (!spec.savesWork || placed.stop != null) continue
+            if (until - now < spec.saveS * 1000 + timing.drainMarginMs) fleet.stop(placed, StopReason.DRAINED)
+        }
+    }
+
+    private fun returnIdle(host: Machine, now: Long, types: Map<TypeName, MachineType>) {
+        val busy = host.live.isNotEmpty() || host.id in reserved || host.heardAt == null ||
+            host.tasks.values.any { it.state != TaskState.EXITED }
+        if (busy) {
+            host.idleSince = null
+            return
+        }
+        val since = host.idleSince
+        if (since == null) {
+            host.idleSince = now
+            return
+        }
+        val bootMs = (types[host.type]?.bootS ?: return) * 1000.0
+        if (now - since > settings.policy.idleBoots * bootMs) rentals.scheduleReturn(host, "idle")
+    }
+
+    /** True once nothing is left to be said directly. */
+    private fun commandDirectly(host: Machine, now: Long): Boolean {
+        val endpoint = host.endpoint ?: return true
+        val heardAt = host.heardAt ?: return true
+        if (!host.isSettled(fleet.token) || now - heardAt > timing.quietMs || now < host.directNotBefore) return true
+        if (host.directBusy) return false
+        val commands = fleet.commands(host, now)
+        if (commands.all { it is WorkerCommand.Forget }) return true
+        host.directBusy = true
+        host.directInFlight = commands.filterIsInstance<WorkerCommand.Start>().map { it.attempt }
+        for (attempt in host.directInFlight) host.live[attempt]?.sentDirectly(now)
+        workers.command(endpoint, fleet.token, host.stamp.session, commands) { outcome ->
+            val starts = host.directInFlight
+            host.directBusy = false
+            host.directInFlight = emptyList()
+            when (outcome) {
+                is DirectOutcome.Answered -> fleet.hear(outcome.report, hello = false)
+                DirectOutcome.NotSent -> host.directNotBefore = clock.steadyMs() + timing.quietMs
+                DirectOutcome.Unanswered -> {
+                    // It may be executed minutes later; from here on the answers to reports carry the commands.
+                    host.unresolved.addAll(starts)
+                    host.directNotBefore = clock.steadyMs() + timing.workerLeaseRawMs
+                }
+            }
+        }
+        return true
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -0,0 +1,204 @@
+package oxbowlug.core
+
+import oxbowlug.config.Objective
+import oxbowlug.config.Settings
+import oxbowlug.plan.Amounts
+import oxbowlug.plan.Plan
+import oxbowlug.plan.PlanJob
+import oxbowlug.plan.PlanMachine
+import oxbowlug.plan.PlanTeam
+import oxbowlug.plan.Snapshot
+import oxbowlug.plan.Tenant
+import oxbowlug.plan.amounts
+import oxbowlug.wire.ClassName
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.MachineState
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.TaskState
+import oxbowlug.wire.TypeName
+import oxbowlug.wire.Zone
+
+/** Turns the model into the planner's snapshot. */
+class Planning(
+    private val settings: Settings,
+    private val clock: Clock,
+    private val timing: Timing,
+    private val fleet: Fleet,
+    private val rentals: Rentals,
+    private val startedAt: Long,
+) {
+    private val policy = settings.policy
+    private val weights = ClassWeights(settings)
+    private val valueLimit = (settings.state.valueKb * 1024).toInt()
+
+    fun snapshot(types: Map<TypeName, MachineType>): Snapshot {
+        val now = clock.steadyMs()
+        val teams = settings.teams.mapValues { (_, team) ->
+            PlanTeam(team.maxCores, team.maxGpus, team.guaranteedCores, team.guaranteedGpus)
+        }
+        for (job in fleet.jobs.values) {
+            val need = job.spec.amounts()
+            val team = teams[job.spec.team] ?: continue
+            for (placed in job.live.values) {
+                team.add(need)
+                if (!placed.isWanted) team.expectStop(need)
+            }
+        }
+        val machines = ArrayList<PlanMachine>(fleet.machines.size)
+        for (host in fleet.machines.values) machine(host, types, now)?.let(machines::add)
+        for (order in rentals.ordered) addOrdered(order, types, now, machines)
+        return Snapshot(
+            jobs = fleet.jobs.values.mapNotNull { job(it, now) },
+            machines = machines,
+            teams = teams,
+            types = types.values.toList(),
+            refusals = rentals.refusalPrices(now),
+            horizonS = policy.replanS,
+            postponeFactor = policy.postponeFactor,
+            idleSlotPenalty = policy.idleSlotPenalty,
+            mayRent = rentals.listedOnce,
+        )
+    }
+
+    private fun job(job: Job, now: Long): PlanJob? {
+        if (job.phase != Phase.ACTIVE || now < job.holdUntil) return null
+        val pending = job.pendingTasks(minOf(MAX_TASKS_PER_ROUND, recordRoom(job)))
+        if (pending.isEmpty()) return null
+        val zoneUse = HashMap<Zone, Int>()
+        for (placed in job.live.values) fleet.machines[placed.machine]?.zone?.let { zoneUse.merge(it, 1, Int::plus) }
+        job.avoid.values.removeIf { it <= now }
+        val waitedS = (clock.wallMs() - job.submittedMs) / 1000.0
+        return PlanJob(
+            id = job.id,
+            spec = job.spec,
+            pending = pending,
+            zoneUse = zoneUse,
+            waitedS = waitedS,
+            estimateS = if (job.spec.kind == JobKind.SERVICE) 0.0 else job.spec.estimateS,
+            deadlineInS = job.spec.deadlineS?.let { it - waitedS },
+            weight = weights.of(job.spec.className),
+            avoid = job.avoid.keys,
+        )
+    }
+
+    /** How many more tasks may be placed so that the record stays inside the value limit, however they end. */
+    private fun recordRoom(job: Job): Int {
+        val perTask = JobRecord.PLACEMENT_BOUND + Ranges.RANGE_BOUND
+        val room = valueLimit - JobRecord.SPEC_BOUND - Ranges.sizeBound(job.done)
+        val many = (room - fleet.machines.size * JobRecord.MACHINE_BOUND) / perTask
+        val few = room / (perTask + JobRecord.MACHINE_BOUND)
+        return (maxOf(many, few) - job.live.size).coerceAtLeast(0)
+    }
+
+    private fun machine(host: Machine, types: Map<TypeName, MachineType>, now: Long): PlanMachine? {
+        val type = types[host.type ?: return null] ?: return null
+        val zone = host.zone ?: return null
+        if (host.returning || host.quarantined || host.deaf || host.noticeUntil != null || host.lost) return null
+        val readyInS = readyInS(host, type, now) ?: return null
+        return PlanMachine(
+            id = host.id,
+            type = type,
+            zone = zone,
+            spot = host.spot,
+            free = host.free(type, strangers(host)),
+            readyInS = readyInS,
+            images = host.images,
+            fetching = fleet.fetching(host),
+            tenants = host.live.values.map { tenant(it, now) },
+        )
+    }
+
+    /** Zero for a machine that can be given work, null for one that can't be counted on. */
+    private fun readyInS(host: Machine, type: MachineType, now: Long): Double? {
+        val heardAt = host.heardAt
+        if (heardAt != null) {
+            if (now - heardAt > timing.quietMs) return null
+            return if (host.token == fleet.token) 0.0 else SOON_S
+        }
+        if (host.listed == MachineState.RUNNING) {
+            return if (now - maxOf(startedAt, host.knownSince) < timing.workerLeaseRawMs) SOON_S else null
+        }
+        return maxOf(SOON_S, type.bootS - (now - host.rentedAt) / 1000.0)
+    }
+
+    /** Tasks that the worker shows but that aren't ours any more hold their room until they have exited. */
+    private fun strangers(host: Machine): Amounts {
+        var sum = Amounts.NONE
+        for (task in host.tasks.values) {
+            if (task.state == TaskState.EXITED || task.attempt in host.live) continue
+            fleet.jobs[task.attempt.task.job]?.let { sum += it.spec.amounts() }
+        }
+        return sum
+    }
+
+    private fun tenant(placed: Live, now: Long): Tenant {
+        val spec = placed.job.spec
+        val ranS = if (placed.seen == TaskState.RUNNING) (now - placed.seenRunningAt) / 1000.0 else 0.0
+        return Tenant(
+            attempt = placed.attempt,
+            priority = spec.priority,
+            team = spec.team,
+            need = spec.amounts(),
+            saveS = if (spec.savesWork) spec.saveS else 0.0,
+            lossS = if (spec.savesWork) spec.saveS else ranS,
+            stopping = !placed.isWanted,
+        )
+    }
+
+    private fun addOrdered(
+        order: Ordered,
+        types: Map<TypeName, MachineType>,
+        now: Long,
+        machines: ArrayList<PlanMachine>,
+    ) {
+        val request = order.request
+        val type = types[request.type] ?: return
+        val readyInS = maxOf(SOON_S, type.bootS - (now - order.orderedAt) / 1000.0)
+        repeat(request.count) {
+            machines.add(
+                PlanMachine(
+                    null, type, request.zone, request.spot, type.amounts(), readyInS, emptySet(), emptySet(), emptyList(),
+                ),
+            )
+        }
+    }
+
+    fun apply(plan: Plan) {
+        val touched = LinkedHashSet<Job>()
+        for (start in plan.starts) {
+            val job = fleet.jobs[start.job] ?: continue
+            val host = fleet.machines[start.machine] ?: continue
+            fleet.place(job, start.task, host)
+            touched.add(job)
+        }
+        for (job in touched) job.closeRound()
+        for (attempt in plan.stops) {
+            val placed = fleet.jobs[attempt.task.job]?.live?.get(attempt.task.index) ?: continue
+            if (placed.attempt == attempt) fleet.stop(placed, StopReason.PREEMPTED)
+        }
+        for ((kind, count) in plan.rentals) rentals.rent(kind, count)
+    }
+
+    private companion object {
+        const val MAX_TASKS_PER_ROUND = 512
+        const val SOON_S = 1.0
+    }
+}
+
+/** Tardiness weights: the shorter the wait that the objectives allow a class, the dearer each second of it. */
+class ClassWeights(settings: Settings) {
+    private val weights = HashMap<ClassName, Double>()
+
+    init {
+        for (objective in settings.objectives) {
+            when (objective) {
+                is Objective.Wait ->
+                    weights[objective.className] = maxOf(1.0, settings.policy.replanS / objective.withinS)
+                is Objective.Deadline, is Objective.Guarantee -> Unit
+            }
+        }
+        weights.putAll(settings.policy.classWeights)
+    }
+
+    fun of(name: ClassName): Double = weights[name] ?: 1.0
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/Records.kt
@@ -0,0 +1,177 @@
+package oxbowlug.core
+
+import oxbowlug.wire.Fields
+import oxbowlug.wire.InvalidField
+import oxbowlug.wire.JobSpec
+import oxbowlug.wire.JobSpecCodec
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.Token
+import oxbowlug.wire.fields
+import java.util.BitSet
+
+/** The keys under which this service keeps its state. */
+object Keys {
+    const val ROOT = "ox/"
+    const val VIEW = "ox/view"
+    const val JOBS = "ox/j/"
+    const val MEMBERS = "ox/m/"
+
+    fun job(id: String): String = JOBS + id
+
+    fun member(member: Member): String = "$MEMBERS${member.label}.${member.incarnation}"
+}
+
+/** One life of a controller process: a restarted one is never mistaken for its earlier self. */
+data class Member(val label: String, val incarnation: String)
+
+/** Who leads. Every change raises [epoch]; [token] is the epoch at which the present leader took over. */
+data class View(val epoch: Long, val token: Token, val leader: Member, val version: Long) {
+    fun encode(): Map<String, Any?> = mapOf(
+        "epoch" to epoch,
+        "token" to token.value,
+        "leader" to leader.label,
+        "incarnation" to leader.incarnation,
+    )
+
+    companion object {
+        fun decode(value: Map<String, Any?>, version: Long): View {
+            val fields = value.fields()
+            return View(
+                epoch = fields.count("epoch"),
+                token = Token(fields.count("token")),
+                leader = Member(fields.text("leader"), fields.text("incarnation")),
+                version = version,
+            )
+        }
+    }
+}
+
+enum class Phase(val wire: String) {
+    ACTIVE("active"),
+    DONE("done"),
+    CANCELLED("cancelled"),
+    ;
+
+    val isFinal: Boolean get() = this != ACTIVE
+}
+
+data class Placement(val machine: MachineId, val attempt: Long)
+
+/** What the state service holds of a job. Done tasks and placements are written as ranges of task numbers. */
+class JobRecord(
+    val spec: JobSpec,
+    val submittedMs: Long,
+    val phase: Phase,
+    val done: BitSet,
+    val nextAttempt: Long,
+    val placements: Map<Int, Placement>,
+    /** Names the write, so that its author knows its own change again when the answer was lost. */
+    val write: String,
+) {
+    fun encode(): Map<String, Any?> {
+        val map = LinkedHashMap<String, Any?>()
+        map["spec"] = JobSpecCodec.encode(spec)
+        map["at"] = submittedMs
+        map["phase"] = phase.wire
+        if (!done.isEmpty) map["done"] = Ranges.encode(done)
+        map["next"] = nextAttempt
+        if (placements.isNotEmpty()) map["run"] = encodePlacements()
+        map["by"] = write
+        return map
+    }
+
+    /** `{"machine": "attempt:tasks;attempt:tasks"}`: one entry a machine however many tasks it has. */
+    private fun encodePlacements(): Map<String, Any?> {
+        val byMachine = LinkedHashMap<String, LinkedHashMap<Long, BitSet>>()
+        for ((task, placement) in placements) {
+            byMachine.getOrPut(placement.machine.value) { LinkedHashMap() }
+                .getOrPut(placement.attempt) { BitSet() }
+                .set(task)
+        }
+        return byMachine.mapValues { (_, attempts) ->
+            attempts.entries.joinToString(";") { (attempt, tasks) -> "$attempt:${Ranges.encode(tasks)}" }
+        }
+    }
+
+    /** An upper bound of the record's size in the form in which the state service counts it. */
+    fun sizeBound(): Int {
+        val machines = placements.values.mapTo(HashSet()) { it.machine }.size
+        return SPEC_BOUND + Ranges.sizeBound(done) + machines * MACHINE_BOUND + placements.size * PLACEMENT_BOUND
+    }
+
+    companion object {
+        const val SPEC_BOUND = 2048
+        const val MACHINE_BOUND = 48
+        const val PLACEMENT_BOUND = 12
+
+        fun decode(value: Map<String, Any?>): JobRecord {
+            val fields = value.fields()
+            return JobRecord(
+                spec = JobSpecCodec.decode(fields.map("spec")),
+                submittedMs = fields.count("at"),
+                phase = phaseOf(fields),
+                done = Ranges.decode(fields.textOrNull("done", Int.MAX_VALUE).orEmpty()),
+                nextAttempt = fields.count("next"),
+                placements = if (fields.has("run")) decodePlacements(fields.map("run")) else emptyMap(),
+                write = fields.text("by"),
+            )
+        }
+
+        fun phaseOf(fields: Fields): Phase {
+            val text = fields.text("phase")
+            return Phase.entries.firstOrNull { it.wire == text } ?: throw InvalidField("phase", "is unknown")
+        }
+
+        private fun decodePlacements(map: Map<String, Any?>): Map<Int, Placement> {
+            val result = LinkedHashMap<Int, Placement>()
+            for ((machine, text) in map) {
+                for (part in (text as String).split(';')) {
+                    val colon = part.indexOf(':')
+                    val placement = Placement(MachineId(machine), part.substring(0, colon).toLong())
+                    Ranges.decode(part.substring(colon + 1)).stream().forEach { result[it] = placement }
+                }
+            }
+            return result
+        }
+    }
+}
+
+/** Sets of task numbers as text: `0-3,7`. */
+object Ranges {
+    const val RANGE_BOUND = 14
+
+    fun encode(set: BitSet): String = buildString {
+        var from = set.nextSetBit(0)
+        while (from >= 0) {
+            val end = set.nextClearBit(from)
+            if (isNotEmpty()) append(',')
+            append(from)
+            if (end - 1 > from) append('-').append(end - 1)
+            from = set.nextSetBit(end)
+        }
+    }
+
+    fun decode(text: String): BitSet {
+        val set = BitSet()
+        if (text.isEmpty()) return set
+        for (part in text.split(',')) {
+            val dash = part.indexOf('-')
+            if (dash < 0) {
+                set.set(part.toInt())
+            } else {
+                set.set(part.substring(0, dash).toInt(), part.substring(dash + 1).toInt() + 1)
+            }
+        }
+        return set
+    }
+
+    fun sizeBound(set: BitSet): Int {
+        var ranges = 0
+        var from = set.nextSetBit(0)
+        while (from >= 0) {
+            ranges++
+            from = set.nextSetBit(set.nextClearBit(from))
+        }
+        return ranges * RANGE_BOUND
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/Rentals.kt
@@ -0,0 +1,194 @@
+package oxbowlug.core
+
+import org.slf4j.LoggerFactory
+import oxbowlug.config.Settings
+import oxbowlug.plan.Kind
+import oxbowlug.plan.Refusal
+import oxbowlug.wire.CloudCodec
+import oxbowlug.wire.ListedMachine
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineState
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.RentalRequest
+import oxbowlug.wire.TypeName
+import kotlin.math.pow
+
+/** A rental whose answer is awaited: its machines count as coming. */
+class Ordered(val request: RentalRequest, val orderedAt: Long, var asking: Boolean, var askAgainAt: Long)
+
+/** The leader's dealings with the cloud: the list, rentals as planned, returns, and which kinds refuse. */
+class Rentals(
+    private val self: Member,
+    private val settings: Settings,
+    private val cloud: CloudPort,
+    private val clock: Clock,
+    private val timing: Timing,
+    private val budget: RateBudget,
+    private val fleet: Fleet,
+) {
+    val ordered = ArrayList<Ordered>()
+    private val refusals = HashMap<Kind, RefusalState>()
+    private val toReturn = LinkedHashSet<MachineId>()
+    private var listing = false
+    private var nextListAt = 0L
+    private var returning = false
+    private var nextReturnAt = 0L
+    private var requests = 0L
+
+    /** Machines that the list shows are known before anything is rented. */
+    var listedOnce = false
+        private set
+
+    private class RefusalState(var count: Int, var until: Long, var lastAt: Long)
+
+    fun tick(types: Map<TypeName, MachineType>) {
+        val now = clock.steadyMs()
+        if (!listing && now >= nextListAt && budget.tryTake(1.0, now)) list(now, types)
+        if (!returning && toReturn.isNotEmpty() && now >= nextReturnAt && budget.tryTake(1.0, now)) giveBack()
+        for (order in ordered.toList()) {
+            if (!order.asking && now >= order.askAgainAt && budget.tryTake(1.0, now)) ask(order)
+        }
+    }
+
+    fun rent(kind: Kind, count: Int) {
+        val now = clock.steadyMs()
+        var left = count
+        while (left > 0) {
+            val part = minOf(left, CloudCodec.MAX_RENTED)
+            left -= part
+            // A name is never used twice: it carries this life of the controller and a number within it.
+            val name = "${self.label}-${self.incarnation}-${requests++}"
+            val order = Ordered(RentalRequest(name, kind.type, kind.zone, kind.spot, part), now, false, now)
+            ordered.add(order)
+            if (budget.tryTake(1.0, now)) ask(order)
+        }
+    }
+
+    private fun ask(order: Ordered) {
+        order.asking = true
+        val request = order.request
+        val kind = Kind(request.type, request.zone, request.spot)
+        cloud.rent(request) { outcome ->
+            val now = clock.steadyMs()
+            order.asking = false
+            when (outcome) {
+                is RentalOutcome.Rented -> {
+                    ordered.remove(order)
+                    log.info("rented {} of {} {}", outcome.machines.size, request.count, kind)
+                    for (id in outcome.machines) {
+                        val machine = fleet.machine(id) ?: continue
+                        machine.type = request.type
+                        machine.zone = request.zone
+                        machine.spot = request.spot
+                        machine.rentedAt = order.orderedAt
+                    }
+                    if (outcome.machines.size < request.count) refused(kind, now) else refusals.remove(kind)
+                }
+                RentalOutcome.NoCapacity -> {
+                    ordered.remove(order)
+                    refused(kind, now)
+                }
+                // The same name is asked for again: if the first request was executed after all, nothing more is rented.
+                RentalOutcome.Refused, RentalOutcome.Unanswered -> {
+                    order.askAgainAt = now + timing.retryMs() * 2
+                    if (now > order.orderedAt + timing.orderPatienceMs) ordered.remove(order)
+                }
+            }
+            fleet.planWanted = true
+        }
+    }
+
+    private fun refused(kind: Kind, now: Long) {
+        val state = refusals.getOrPut(kind) { RefusalState(0, 0, now) }
+        state.count++
+        state.lastAt = now
+        state.until = now + (timing.refusalBaseMs shl minOf(state.count - 1, MAX_DOUBLINGS))
+        log.info("no more capacity for {}, not asked for {} ms", kind, state.until - now)
+    }
+
+    /** A kind that refused of late costs more, less so as time goes by, and isn't asked at all for a while. */
+    fun refusalPrices(now: Long): Map<Kind, Refusal> = refusals.mapValues { (_, state) ->
+        val age = (now - state.lastAt).toDouble() / timing.refusalHalfLifeMs
+        Refusal(blocked = now < state.until, penalty = state.count * 0.5.pow(age))
+    }
+
+    fun scheduleReturn(machine: Machine, why: String) {
+        if (machine.returning) return
+        machine.returning = true
+        log.info("returning {}: {}", machine.id, why)
+        toReturn.add(machine.id)
+    }
+
+    private fun giveBack() {
+        val batch = toReturn.take(CloudCodec.MAX_RETURNED)
+        returning = true
+        cloud.giveBack(batch) { ok ->
+            returning = false
+            if (ok) {
+                toReturn.removeAll(batch.toSet())
+                for (id in batch) fleet.removeMachine(id, "returned")
+            } else {
+                nextReturnAt = clock.steadyMs() + timing.retryMs() * 2
+            }
+        }
+    }
+
+    private fun list(askedAt: Long, types: Map<TypeName, MachineType>) {
+        listing = true
+        cloud.list { machines ->
+            listing = false
+            nextListAt = clock.steadyMs() + if (machines == null) timing.retryMs() * 2 else timing.listEveryMs
+            if (machines != null) {
+                if (!listedOnce) fleet.planWanted = true
+                listedOnce = true
+                take(machines, askedAt, types)
+            }
+        }
+    }
+
+    private fun take(
+        machines: List<ListedMachine>,
+        askedAt: Long,
+        types: Map<TypeName, MachineType>,
+    ) {
+        val now = clock.steadyMs()
+        val present = HashSet<MachineId>(machines.size * 2)
+        for (listed in machines) {
+            present.add(listed.id)
+            val machine = fleet.machine(listed.id) ?: continue
+            if (machine.listed == null) fleet.planWanted = true
+            machine.listed = listed.state
+            machine.listedAt = now
+            if (machine.type == null) {
+                machine.type = listed.type
+                machine.zone = listed.zone
+                machine.spot = listed.spot
+            }
+            machine.rentedAt = minOf(machine.rentedAt, now - (listed.ageS * 1000).toLong())
+            if (listed.state == MachineState.FAILED) {
+                fleet.removeMachine(listed.id, "listed as failed")
+                toReturn.add(listed.id)
+            } else {
+                checkBoot(machine, now, types)
+            }
+        }
+        for (machine in fleet.machines.values.toList()) {
+            // Lists lag and can go backwards: only one asked for long after the machine was known proves its absence.
+            if (machine.id !in present && machine.knownSince < askedAt - timing.listAgeMs) {
+                fleet.removeMachine(machine.id, "no longer listed")
+            }
+        }
+    }
+
+    /** Some machines never come up and are charged until they are returned. */
+    private fun checkBoot(machine: Machine, now: Long, types: Map<TypeName, MachineType>) {
+        val bootMs = (types[machine.type]?.bootS ?: return) * 1000.0
+        if (machine.heardAt != null || machine.listed != MachineState.BOOTING) return
+        if (now - machine.rentedAt > settings.policy.bootPatience * bootMs) scheduleReturn(machine, "never came up")
+    }
+
+    private companion object {
+        const val MAX_DOUBLINGS = 4
+        val log = LoggerFactory.getLogger("rentals")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -0,0 +1,74 @@
+package oxbowlug.core
+
+import oxbowlug.config.Settings
+import kotlin.random.Random
+
+/** Every duration of the core, each a ratio to a figure of the settings. */
+class Timing(settings: Settings, private val random: Random) {
+    private val workerLeaseMs = settings.workers.leaseS * 1000.0
+    private val reportMs = settings.workers.reportS * 1000.0
+
+    /** Steady clocks drift by up to 0.05%; twice that is allowed for between two of them. */
+    private val drift = 0.001
+
+    /** A controller's own lease: short beside the workers', so that a successor answers before theirs run out. */
+    val leaseLifeMs: Long = (workerLeaseMs * 0.3).toLong()
+    val leaseTouchMs: Long = leaseLifeMs / 4
+
+    /** How long after a renewal was sent its holder may still believe in it. */
+    val leaseBeliefMs: Long = (leaseLifeMs * (1.0 - drift)).toLong() - CLOCK_STEP_MS
+
+    /** Once this long has passed since our last answer, a worker's lease is surely over. */
+    val workerExpiryMs: Long = (workerLeaseMs * (1.0 + drift)).toLong() + 2 * CLOCK_STEP_MS
+    val workerLeaseRawMs: Long = workerLeaseMs.toLong()
+
+    /** A machine that missed this many reports is not given new work. */
+    val quietMs: Long = (reportMs * 2.5).toLong()
+    val cancelMs: Long = (settings.workers.cancelS * 1000.0).toLong()
+
+    /** Half of the time allowed for a cancellation: then a machine that can't be reached is returned. */
+    val cancelPatienceMs: Long = (settings.workers.cancelS * 500.0).toLong()
+    val directTimeoutMs: Long = workerLeaseMs.toLong() / 5
+    val watchMs: Long = workerLeaseMs.toLong()
+
+    /** Reads of changes are paced to a tenth of the state service's rate a node for each of the two kinds. */
+    val catchUpGapMs: Long = (1000.0 / (settings.state.rps * 0.2)).toLong().coerceAtLeast(5)
+    val watchGapMs: Long = (1000.0 / (settings.state.rps * 0.2)).toLong().coerceAtLeast(5)
+
+    /** A list is surely newer than an event if it was asked for this much later. */
+    val listAgeMs: Long = (settings.cloud.listLagS * 2000.0 * 1.1).toLong() + 1000
+    val listEveryMs: Long = maxOf((settings.cloud.listLagS * 500.0).toLong(), (4000.0 / settings.cloud.rps).toLong())
+
+    /** A machine on which a job failed is avoided by it this long; a job that fails everywhere pauses, doubling. */
+    val avoidMs: Long = workerLeaseRawMs * 12
+    val errorPauseMs: Long = workerLeaseRawMs / 2
+    val refusedPauseMs: Long = reportMs.toLong() * 3
+
+    /** Ends of tasks wait this long for others of the same job, so that they share a write. */
+    val lazyWriteMs: Long = reportMs.toLong()
+
+    /** A kind that had no capacity is asked again after this, doubling; its price decays in the same measure. */
+    val refusalBaseMs: Long = workerLeaseRawMs / 2
+    val refusalHalfLifeMs: Long = workerLeaseRawMs * 3
+    val orderPatienceMs: Long = workerLeaseRawMs * 6
+
+    /** Plans are at least this far apart, so that a burst of events is planned for together. */
+    val planGapMs: Long = reportMs.toLong() / 20
+    val replanSoonMs: Long = reportMs.toLong() * 2
+    val drainMarginMs: Long = reportMs.toLong() * 3
+
+    /** Without an answer of the state service for this long, submissions are refused at once. */
+    val stateAwayMs: Long = leaseLifeMs
+    val typesEveryMs: Long = workerLeaseRawMs
+    val retryBaseMs: Long = reportMs.toLong() / 4
+
+    /** A failed call is repeated after a jittered pause, so that controllers don't come in step. */
+    fun retryMs(): Long = retryBaseMs + random.nextLong(retryBaseMs + 1)
+
+    fun jitter(maxMs: Long): Long = if (maxMs <= 0) 0 else random.nextLong(maxMs + 1)
+
+    companion object {
+        /** Timers fire in steps of up to a few milliseconds. */
+        const val CLOCK_STEP_MS = 50L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/peer/PeerLink.kt
@@ -0,0 +1,75 @@
+package oxbowlug.peer
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.net.NetClientOptions
+import io.vertx.core.net.NetServerOptions
+import io.vertx.core.net.NetSocket
+import okio.Buffer as Frames
+import org.slf4j.LoggerFactory
+import oxbowlug.config.Address
+import oxbowlug.config.Settings
+import oxbowlug.core.PeerNews
+
+/**
+ * One connection to each other controller, over which this one tells its newest view. So a controller that lost
+ * only the state service learns that it was succeeded, and sends its workers on.
+ */
+class PeerLink(
+    private val vertx: Vertx,
+    private val settings: Settings,
+    private val everyMs: Long,
+    private val news: () -> PeerNews,
+    private val heard: (PeerNews) -> Unit,
+) {
+    private val client = vertx.createNetClient(NetClientOptions().setConnectTimeout((everyMs * 2).toInt()))
+    private val outgoing = arrayOfNulls<NetSocket>(settings.peers.size)
+    private val connecting = BooleanArray(settings.peers.size)
+
+    fun start() {
+        vertx.createNetServer(NetServerOptions().setHost(settings.peerListen.host).setPort(settings.peerListen.port))
+            .connectHandler(::receive)
+            .listen()
+            .onFailure { log.error("cannot listen for peers on {}: {}", settings.peerListen, it.message) }
+        vertx.setPeriodic(everyMs) { for (index in settings.peers.indices) tell(index) }
+    }
+
+    private fun receive(socket: NetSocket) {
+        val input = Frames()
+        socket.handler { bytes ->
+            input.write(bytes.bytes)
+            try {
+                while (true) heard(PeerFrames.next(input) ?: break)
+            } catch (e: MalformedFrame) {
+                log.info("refused a peer's message: {}", e.message)
+                socket.close()
+            }
+        }
+        socket.exceptionHandler { }
+    }
+
+    private fun tell(index: Int) {
+        val socket = outgoing[index]
+        if (socket != null) {
+            // A peer that reads nothing any more must not be written to for ever.
+            if (socket.writeQueueFull()) socket.close() else socket.write(Buffer.buffer(PeerFrames.encode(news()).readByteArray()))
+            return
+        }
+        if (connecting[index]) return
+        connecting[index] = true
+        val address: Address = settings.peers[index].address
+        client.connect(address.port, address.host).onComplete { result ->
+            connecting[index] = false
+            if (result.succeeded()) {
+                val opened = result.result()
+                outgoing[index] = opened
+                opened.closeHandler { if (outgoing[index] === opened) outgoing[index] = null }
+                opened.exceptionHandler { }
+            }
+        }
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("peer")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -0,0 +1,283 @@
+package oxbowlug.plan
+
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.Zone
+
+/**
+ * One round of the rent-and-deadline plan. Jobs are ranked by what postponing them to the next round would cost;
+ * each in turn takes the cheapest place that its constraints allow: a ready machine, one that is coming, room made
+ * by stopping work that may be stopped, or a new rental. Nothing that fits is postponed.
+ */
+class Planner(private val snapshot: Snapshot) {
+    private val machines = ArrayList(snapshot.machines)
+    private val starts = ArrayList<Start>()
+    private val stops = ArrayList<Attempt>()
+    private val rentals = LinkedHashMap<Kind, Int>()
+    private val reserved = LinkedHashSet<MachineId>()
+    private val typesByName = snapshot.types.associateBy { it.name }
+    private var unplaced = 0
+
+    fun plan(): Plan {
+        for (job in Ranking.order(snapshot.jobs, snapshot.horizonS, snapshot.postponeFactor)) place(job)
+        return Plan(starts, stops, rentals, reserved, unplaced)
+    }
+
+    private fun place(job: PlanJob) {
+        val team = snapshot.teams[job.spec.team] ?: return
+        val need = job.spec.amounts()
+        val zones = ZoneRule(job)
+        if (job.spec.oneZone && zones.fixed == null) zones.fixed = roomiestZone(job, need)
+        for ((index, task) in job.pending.withIndex()) {
+            // A team at its limit waits for its own work to end; nobody else's is stopped for it.
+            if (!team.hasRoomFor(need)) break
+            val placed = placeTask(job, task, need, team, zones, job.pending.size - index)
+            if (!placed) {
+                // The tasks of a job are alike: where one doesn't fit, no other does.
+                unplaced += job.pending.size - index
+                break
+            }
+        }
+    }
+
+    private fun placeTask(
+        job: PlanJob,
+        task: Int,
+        need: Amounts,
+        team: PlanTeam,
+        zones: ZoneRule,
+        left: Int,
+    ): Boolean {
+        val ready = cheapest(job, need, zones) { it.isReady && need.fitsIn(it.free) }
+        if (ready != null) {
+            ready.take(need)
+            starts.add(Start(job.id, task, ready.id ?: error("a ready machine has a name")))
+            settle(ready.zone, need, team, zones)
+            return true
+        }
+        val coming = cheapest(job, need, zones) { it.isReady && need.fitsIn(it.free + it.coming) }
+        val preempted = if (coming == null) Preemption.choose(job, need, team, zones, machines, snapshot.teams) else null
+        val booting = cheapest(job, need, zones) { !it.isReady && need.fitsIn(it.free) }
+        val host = when {
+            coming != null -> coming
+            preempted != null -> preempted.machine.also { stopAll(preempted) }
+            booting != null -> booting
+            else -> rent(job, need, zones, left) ?: return false
+        }
+        if (host.isReady) promise(host, need) else host.take(need)
+        host.id?.let(reserved::add)
+        settle(host.zone, need, team, zones)
+        return true
+    }
+
+    private fun promise(host: PlanMachine, need: Amounts) {
+        // The room is part free now and part coming: what is free must not be given away meanwhile.
+        val now = Amounts(
+            minOf(need.cores, host.free.cores).coerceAtLeast(0.0),
+            minOf(need.gpus, host.free.gpus).coerceAtLeast(0.0),
+            minOf(need.memoryGb, host.free.memoryGb).coerceAtLeast(0.0),
+        )
+        host.take(now)
+        host.promise(need - now)
+    }
+
+    private fun settle(zone: Zone, need: Amounts, team: PlanTeam, zones: ZoneRule) {
+        team.add(need)
+        zones.use(zone)
+    }
+
+    private fun stopAll(choice: Preemption.Choice) {
+        for (victim in choice.victims) {
+            choice.machine.stop(victim)
+            stops.add(victim.attempt)
+        }
+    }
+
+    private inline fun cheapest(
+        job: PlanJob,
+        need: Amounts,
+        zones: ZoneRule,
+        fits: (PlanMachine) -> Boolean,
+    ): PlanMachine? {
+        var best: PlanMachine? = null
+        var bestCost = Double.POSITIVE_INFINITY
+        for (machine in machines) {
+            if (!Constraints.allow(job, machine) || !zones.allows(machine.zone) || !fits(machine)) continue
+            val price = machine.type.price(machine.spot)
+            val cost = Pricing.cost(job, need, machine.type, price, machine.readyInS + machine.fetchS(job.spec), snapshot) +
+                Pricing.idleCost(machine.type, price, machine.free - need, snapshot)
+            if (cost < bestCost) {
+                best = machine
+                bestCost = cost
+            }
+        }
+        return best
+    }
+
+    /** Adds a machine of the cheapest kind that may still be had. */
+    private fun rent(job: PlanJob, need: Amounts, zones: ZoneRule, left: Int): PlanMachine? {
+        if (!snapshot.mayRent) return null
+        var best: Kind? = null
+        var bestType: MachineType? = null
+        var bestCost = Double.POSITIVE_INFINITY
+        for (type in snapshot.types) {
+            if (!Constraints.allow(job, type) || !need.fitsIn(type.amounts())) continue
+            for (zone in type.zones) {
+                if (!zones.allows(zone) || (job.spec.zone != null && job.spec.zone != zone)) continue
+                for (spot in SPOT_CHOICES) {
+                    if (spot && (!job.spec.spot || type.spotPrice <= 0.0)) continue
+                    val kind = Kind(type.name, zone, spot)
+                    val refusal = snapshot.refusals[kind]
+                    if (refusal != null && refusal.blocked) continue
+                    val cost = rentalCost(job, need, type, zone, spot, zones, left) * (1.0 + (refusal?.penalty ?: 0.0))
+                    if (cost < bestCost) {
+                        best = kind
+                        bestType = type
+                        bestCost = cost
+                    }
+                }
+            }
+        }
+        val kind = best ?: return null
+        val type = bestType ?: return null
+        rentals.merge(kind, 1, Int::plus)
+        val machine = PlanMachine(
+            null, type, kind.zone, kind.spot, type.amounts(), type.bootS.coerceAtLeast(1.0), emptySet(), emptySet(), emptyList(),
+        )
+        machines.add(machine)
+        return machine
+    }
+
+    private fun rentalCost(
+        job: PlanJob,
+        need: Amounts,
+        type: MachineType,
+        zone: Zone,
+        spot: Boolean,
+        zones: ZoneRule,
+        left: Int,
+    ): Double {
+        val fetchS = if (type.fetchGbPerS > 0.0) job.spec.imageGb / type.fetchGbPerS else 0.0
+        val perMachine = (1.0 / type.share(need).coerceAtLeast(1e-9)).toInt().coerceAtLeast(1)
+        val filled = minOf(left, perMachine)
+        val leftover = Amounts(
+            type.cores - need.cores * filled,
+            type.gpus - need.gpus * filled,
+            type.memoryGb - need.memoryGb * filled,
+        )
+        val price = type.price(spot)
+        // Between equal offers the zone with fewer machines is taken, so that one zone's loss costs less.
+        val crowd = 1.0 + machines.count { it.zone == zone } * CROWDING + zones.used(zone) * CROWDING
+        return (
+            Pricing.cost(job, need, type, price, type.bootS + fetchS, snapshot) +
+                Pricing.idleCost(type, price, leftover, snapshot)
+            ) * crowd
+    }
+
+    private fun roomiestZone(job: PlanJob, need: Amounts): Zone? {
+        val room = HashMap<Zone, Int>()
+        for (machine in machines) {
+            if (!Constraints.allow(job, machine)) continue
+            var free = machine.free
+            var count = 0
+            while (need.fitsIn(free) && count < job.pending.size) {
+                free -= need
+                count++
+            }
+            room.merge(machine.zone, count, Int::plus)
+        }
+        return room.entries.maxWithOrNull(compareBy({ it.value }, { it.key.value }))?.takeIf { it.value > 0 }?.key
+            ?: typesByName.values.firstOrNull { Constraints.allow(job, it) }?.zones?.firstOrNull()
+    }
+
+    private companion object {
+        val SPOT_CHOICES = booleanArrayOf(true, false)
+        const val CROWDING = 1e-4
+    }
+}
+
+/** Where a job's next task may go, given where its others are or may be. */
+class ZoneRule(private val job: PlanJob) {
+    private val use = HashMap(job.zoneUse)
+    var fixed: Zone? = if (job.spec.oneZone) job.zoneUse.keys.firstOrNull() else null
+
+    fun used(zone: Zone): Int = use[zone] ?: 0
+
+    fun allows(zone: Zone): Boolean {
+        if (job.spec.zone != null && job.spec.zone != zone) return false
+        val only = fixed
+        if (job.spec.oneZone && only != null && only != zone) return false
+        return used(zone) < job.spec.zoneCap
+    }
+
+    fun use(zone: Zone) {
+        use.merge(zone, 1, Int::plus)
+        if (job.spec.oneZone) fixed = zone
+    }
+}
+
+object Constraints {
+    fun allow(job: PlanJob, type: MachineType): Boolean = job.spec.types?.contains(type.name) ?: true
+
+    fun allow(job: PlanJob, machine: PlanMachine): Boolean {
+        if (machine.spot && !job.spec.spot) return false
+        if (!allow(job, machine.type)) return false
+        val id = machine.id
+        return id == null || id !in job.avoid
+    }
+}
+
+object Ranking {
+    /** By the penalty of postponing, the largest first; then the longest waiting; then by id, so that a plan repeats. */
+    fun order(jobs: List<PlanJob>, horizonS: Double, postponeFactor: Double): List<PlanJob> =
+        jobs.sortedWith(
+            compareBy<PlanJob> { it.spec.priority.ordinal }
+                .thenByDescending { postponement(it, horizonS, postponeFactor) }
+                .thenByDescending { it.waitedS }
+                .thenBy { it.id.value },
+        )
+
+    /** omega-hat times the tardiness at stake if the job waits for one more horizon. */
+    fun postponement(job: PlanJob, horizonS: Double, postponeFactor: Double): Double {
+        val longest = job.estimateS
+        // Without a deadline the job gets twice its length, counted from now.
+        val deadline = job.deadlineInS ?: (2.0 * longest)
+        return postponeFactor * job.weight * maxOf(0.0, horizonS + longest - deadline)
+    }
+}
+
+object Pricing {
+    private const val HOUR_S = 3600.0
+
+    /** The job's part of the machine for its run time, plus the weighted tardiness of its start there. */
+    fun cost(
+        job: PlanJob,
+        need: Amounts,
+        type: MachineType,
+        price: Double,
+        delayS: Double,
+        snapshot: Snapshot,
+    ): Double {
+        val runS = if (job.spec.kind == JobKind.SERVICE) snapshot.horizonS else job.estimateS
+        val deadline = job.deadlineInS ?: (2.0 * job.estimateS)
+        val tardiness = maxOf(0.0, delayS + job.estimateS - deadline)
+        return type.share(need) * price / HOUR_S * runS + omega(job, snapshot) * tardiness + delayS * EAGERNESS * omega(job, snapshot)
+    }
+
+    /** mu for each slot that stays idle, in the price of the slot for one horizon. */
+    fun idleCost(type: MachineType, price: Double, left: Amounts, snapshot: Snapshot): Double {
+        val idle = if (type.gpus > 0.0) left.gpus else left.cores
+        val slots = type.slots.coerceAtLeast(1.0)
+        return snapshot.idleSlotPenalty * maxOf(0.0, idle) / slots * price / HOUR_S * IDLE_SCALE
+    }
+
+    /** The weight is in prices: a second late costs [PlanJob.weight] times the dearest machine's second. */
+    private fun omega(job: PlanJob, snapshot: Snapshot): Double =
+        job.weight * (snapshot.types.maxOfOrNull { it.price } ?: 0.0) / HOUR_S
+
+    /** Even an early start is worth something: it frees the machine earlier. */
+    private const val EAGERNESS = 0.05
+    private const val IDLE_SCALE = 1.0
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -0,0 +1,188 @@
+package oxbowlug.plan
+
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.ImageName
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobSpec
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.Priority
+import oxbowlug.wire.TeamName
+import oxbowlug.wire.TypeName
+import oxbowlug.wire.Zone
+
+/** What a task takes of its machine, or what a machine has left. */
+data class Amounts(val cores: Double, val gpus: Double, val memoryGb: Double) {
+    operator fun plus(other: Amounts) = Amounts(cores + other.cores, gpus + other.gpus, memoryGb + other.memoryGb)
+
+    operator fun minus(other: Amounts) = Amounts(cores - other.cores, gpus - other.gpus, memoryGb - other.memoryGb)
+
+    fun fitsIn(room: Amounts): Boolean =
+        cores <= room.cores + SLACK && gpus <= room.gpus + SLACK && memoryGb <= room.memoryGb + SLACK
+
+    companion object {
+        /** Sums of decimal amounts miss by rounding; this is far below any amount that is asked for. */
+        private const val SLACK = 1e-6
+        val NONE = Amounts(0.0, 0.0, 0.0)
+    }
+}
+
+fun JobSpec.amounts() = Amounts(cores, gpus, memoryGb)
+
+fun MachineType.amounts() = Amounts(cores, gpus, memoryGb)
+
+/** The part of a whole machine that [need] takes: its scarcest resource decides. */
+fun MachineType.share(need: Amounts): Double {
+    var share = if (cores > 0.0) need.cores / cores else 0.0
+    if (gpus > 0.0) share = maxOf(share, need.gpus / gpus)
+    if (memoryGb > 0.0) share = maxOf(share, need.memoryGb / memoryGb)
+    return share
+}
+
+/** What can be rented: a type in a zone, spot or ordinary. */
+data class Kind(val type: TypeName, val zone: Zone, val spot: Boolean)
+
+/** A task that holds part of a machine. */
+class Tenant(
+    val attempt: Attempt,
+    val priority: Priority,
+    val team: TeamName,
+    val need: Amounts,
+    /** Time to stop it with its work saved. */
+    val saveS: Double,
+    /** Work that stopping it would lose. */
+    val lossS: Double,
+    /** On its way out: its room comes free by itself. */
+    val stopping: Boolean,
+)
+
+class PlanMachine(
+    /** Null for a machine that this plan rents. */
+    val id: MachineId?,
+    val type: MachineType,
+    val zone: Zone,
+    val spot: Boolean,
+    free: Amounts,
+    /** Zero: can be given work now. Otherwise it is booting, or hasn't been heard yet. */
+    val readyInS: Double,
+    val images: Set<ImageName>,
+    val fetching: Set<ImageName>,
+    val tenants: List<Tenant>,
+) {
+    var free: Amounts = free
+        private set
+
+    /** What comes free on its own or through this plan's stops, less what this plan has promised of it. */
+    var coming: Amounts = tenants.filter { it.stopping }.fold(Amounts.NONE) { sum, tenant -> sum + tenant.need }
+        private set
+    val stopped = HashSet<Attempt>()
+    val isReady: Boolean get() = readyInS <= 0.0
+
+    fun take(need: Amounts) {
+        free -= need
+    }
+
+    fun promise(need: Amounts) {
+        coming -= need
+    }
+
+    fun stop(tenant: Tenant) {
+        stopped.add(tenant.attempt)
+        coming += tenant.need
+    }
+
+    fun fetchS(spec: JobSpec): Double = when {
+        spec.image in images || spec.imageGb <= 0.0 -> 0.0
+        type.fetchGbPerS <= 0.0 -> 0.0
+        // Several images fetched at once may share the rate; one already under way is half there on average.
+        spec.image in fetching -> spec.imageGb / type.fetchGbPerS * 0.5 * fetching.size
+        else -> spec.imageGb / type.fetchGbPerS * (1 + fetching.size)
+    }
+}
+
+class PlanJob(
+    val id: JobId,
+    val spec: JobSpec,
+    /** Tasks that wait for a machine, in the order in which they should start. */
+    val pending: IntArray,
+    /** Tasks that are or may be on machines, by zone. */
+    val zoneUse: Map<Zone, Int>,
+    val waitedS: Double,
+    /** Estimate of the run time; 0 for services. */
+    val estimateS: Double,
+    /** Seconds until the deadline; null without one. */
+    val deadlineInS: Double?,
+    val weight: Double,
+    /** Machines on which this job failed, or was refused, a short while ago. */
+    val avoid: Set<MachineId>,
+)
+
+class PlanTeam(val maxCores: Double, val maxGpus: Double, val guaranteedCores: Double, val guaranteedGpus: Double) {
+    var cores = 0.0
+        private set
+    var gpus = 0.0
+        private set
+    private var stoppingCores = 0.0
+    private var stoppingGpus = 0.0
+
+    fun add(need: Amounts) {
+        cores += need.cores
+        gpus += need.gpus
+    }
+
+    /** [need] is on its way out: it still counts for the limit, but is not borrowed a second time. */
+    fun expectStop(need: Amounts) {
+        stoppingCores += need.cores
+        stoppingGpus += need.gpus
+    }
+
+    fun hasRoomFor(need: Amounts): Boolean = cores + need.cores <= maxCores + SLACK && gpus + need.gpus <= maxGpus + SLACK
+
+    /** A guarantee of 0 is none, so a team needs a guarantee in whatever the task takes. */
+    fun guarantees(need: Amounts): Boolean {
+        val anything = guaranteedCores > 0.0 || guaranteedGpus > 0.0
+        return anything && within(cores + need.cores, guaranteedCores) && within(gpus + need.gpus, guaranteedGpus)
+    }
+
+    /** Whether it stays at or above its guarantee without [need], so that [need] is borrowed. */
+    fun borrows(need: Amounts): Boolean {
+        val coresOver = guaranteedCores > 0.0 && need.cores > 0.0 &&
+            cores - stoppingCores - need.cores >= guaranteedCores - SLACK
+        val gpusOver = guaranteedGpus > 0.0 && need.gpus > 0.0 &&
+            gpus - stoppingGpus - need.gpus >= guaranteedGpus - SLACK
+        val nothingGuaranteed = guaranteedCores <= 0.0 && guaranteedGpus <= 0.0
+        return coresOver || gpusOver || nothingGuaranteed
+    }
+
+    private fun within(value: Double, guarantee: Double) = guarantee <= 0.0 || value <= guarantee + SLACK
+
+    private companion object {
+        const val SLACK = 1e-6
+    }
+}
+
+class Snapshot(
+    val jobs: List<PlanJob>,
+    val machines: List<PlanMachine>,
+    val teams: Map<TeamName, PlanTeam>,
+    val types: List<MachineType>,
+    /** Kinds that refuse now, and a decaying price on those that refused of late. */
+    val refusals: Map<Kind, Refusal>,
+    val horizonS: Double,
+    val postponeFactor: Double,
+    val idleSlotPenalty: Double,
+    val mayRent: Boolean,
+)
+
+class Refusal(val blocked: Boolean, val penalty: Double)
+
+data class Start(val job: JobId, val task: Int, val machine: MachineId)
+
+class Plan(
+    val starts: List<Start>,
+    val stops: List<Attempt>,
+    val rentals: Map<Kind, Int>,
+    /** Machines, ready or not, on which this plan relies for tasks that can't start yet. */
+    val reserved: Set<MachineId>,
+    val unplaced: Int,
+)
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/wire/Answers.kt
@@ -0,0 +1,26 @@
+package oxbowlug.wire
+
+/** What a user is told about a job. */
+enum class ShownState(val wire: String) {
+    QUEUED("queued"),
+    RUNNING("running"),
+    DONE("done"),
+    CANCELLED("withdrawn"),
+}
+
+data class JobView(val id: JobId, val state: ShownState, val done: Int, val running: Int)
+
+object AnswerCodec {
+    fun accepted(view: JobView): Map<String, Any?> = mapOf("id" to view.id.value, "stance" to view.state.wire)
+
+    fun polled(view: JobView): Map<String, Any?> = mapOf(
+        "id" to view.id.value,
+        "stance" to view.state.wire,
+        "done" to view.done,
+        "running" to view.running,
+    )
+
+    fun redirect(label: String?): Map<String, Any?> = if (label == null) emptyMap() else mapOf("drover" to label)
+
+    fun problem(text: String): Map<String, Any?> = mapOf("error" to text)
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/wire/Worker.kt
@@ -0,0 +1,105 @@
+package oxbowlug.wire
+
+enum class TaskState(val wire: String) {
+    FETCHING("pulling"),
+    WAITING("waiting"),
+    RUNNING("running"),
+    SAVING("flushing"),
+    EXITED("exited"),
+}
+
+enum class ExitCause(val wire: String) {
+    DONE("done"),
+    STOPPED("stopped"),
+    ERROR("error"),
+    FULL("full"),
+    BUSY("busy"),
+    UNKNOWN("unknown"),
+    PEERS_GONE("mates_gone"),
+    ALONE("incomplete"),
+
+    /** A cause that a later protocol may add: an exit all the same. */
+    OTHER(""),
+}
+
+data class ReportedTask(val attempt: Attempt, val state: TaskState, val cause: ExitCause?, val saved: Boolean)
+
+/** One worker's account of itself. The larger (session, sequence) is the newer one. */
+data class WorkerReport(
+    val machine: MachineId,
+    val endpoint: String,
+    val type: TypeName,
+    val zone: Zone,
+    val spot: Boolean,
+    val session: Long,
+    val sequence: Long,
+    val token: Token,
+    val noticeS: Double?,
+    val tasks: List<ReportedTask>,
+) {
+    fun isNewerThan(otherSession: Long, otherSequence: Long): Boolean =
+        session > otherSession || (session == otherSession && sequence > otherSequence)
+}
+
+sealed interface WorkerCommand {
+    val attempt: Attempt
+
+    data class Start(override val attempt: Attempt) : WorkerCommand
+
+    data class Stop(override val attempt: Attempt, val graceS: Double) : WorkerCommand
+
+    data class Forget(override val attempt: Attempt) : WorkerCommand
+}
+
+object WorkerCodec {
+    private const val MAX_REPORTED = 4096
+
+    fun decodeReport(map: Map<String, Any?>): WorkerReport {
+        val fields = map.fields()
+        val tasks = fields.maps("furrows")
+        if (tasks.size > MAX_REPORTED) throw InvalidField("furrows", "has more than $MAX_REPORTED items")
+        return WorkerReport(
+            machine = MachineId(fields.text("beast")),
+            endpoint = fields.text("endpoint"),
+            type = TypeName(fields.text("breed")),
+            zone = Zone(fields.text("paddock")),
+            spot = fields.flag("stray"),
+            session = fields.count("shift"),
+            sequence = fields.count("tally"),
+            token = Token(fields.countOr("brand", 0)),
+            noticeS = fields.amountOrNull("whistle_s"),
+            tasks = tasks.map(::decodeTask),
+        )
+    }
+
+    private fun decodeTask(fields: Fields): ReportedTask {
+        val task = TaskId.parse(fields.text("furrow")) ?: throw InvalidField("furrow", "is not a task of a job")
+        val state = fields.text("stance")
+        val cause = fields.textOrNull("cause")
+        return ReportedTask(
+            attempt = Attempt(task, fields.count("try")),
+            state = TaskState.entries.firstOrNull { it.wire == state } ?: throw InvalidField("stance", "is unknown"),
+            cause = cause?.let { text -> ExitCause.entries.firstOrNull { it.wire == text } ?: ExitCause.OTHER },
+            saved = fields.flagOr("saved", false),
+        )
+    }
+
+    fun encodeAnswer(token: Token, commands: List<WorkerCommand>): Map<String, Any?> =
+        mapOf("brand" to token.value, "calls" to commands.map(::encodeCommand))
+
+    fun encodeDirect(token: Token, session: Long, commands: List<WorkerCommand>): Map<String, Any?> =
+        mapOf("brand" to token.value, "shift" to session, "calls" to commands.map(::encodeCommand))
+
+    private fun encodeCommand(command: WorkerCommand): Map<String, Any?> {
+        val map = LinkedHashMap<String, Any?>()
+        map["call"] = when (command) {
+            is WorkerCommand.Start -> "run"
+            is WorkerCommand.Stop -> "kill"
+            is WorkerCommand.Forget -> "reap"
+        }
+        map["furrow"] = command.attempt.task.toString()
+        map["try"] = command.attempt.number
+        if (command is WorkerCommand.Stop) map["slack_s"] = command.graceS
+        return map
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/worker/WorkerClient.kt
@@ -0,0 +1,50 @@
+package oxbowlug.worker
+
+import io.vertx.core.http.HttpMethod
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import oxbowlug.config.Address
+import oxbowlug.core.DirectOutcome
+import oxbowlug.core.WorkerPort
+import oxbowlug.http.CallResult
+import oxbowlug.http.HttpCaller
+import oxbowlug.wire.InvalidField
+import oxbowlug.wire.Token
+import oxbowlug.wire.WorkerCodec
+import oxbowlug.wire.WorkerCommand
+
+/** Commands sent straight to a worker's address. */
+class WorkerClient(
+    private val http: HttpCaller,
+    private val scope: CoroutineScope,
+    private val timeoutMs: Long,
+    private val settle: (() -> Unit) -> Unit,
+) : WorkerPort {
+    override fun command(
+        endpoint: Address,
+        token: Token,
+        session: Long,
+        commands: List<WorkerCommand>,
+        done: (DirectOutcome) -> Unit,
+    ) {
+        scope.launch {
+            val body = WorkerCodec.encodeDirect(token, session, commands)
+            val outcome = when (val result = http.call(endpoint, HttpMethod.POST, "/do", body, timeoutMs)) {
+                is CallResult.Answered -> read(result)
+                CallResult.NotSent -> DirectOutcome.NotSent
+                CallResult.Unanswered -> DirectOutcome.Unanswered
+            }
+            settle { done(outcome) }
+        }
+    }
+
+    private fun read(result: CallResult.Answered): DirectOutcome {
+        val body = result.body ?: return DirectOutcome.Unanswered
+        if (result.status != 200 && result.status != 409) return DirectOutcome.Unanswered
+        return try {
+            DirectOutcome.Answered(WorkerCodec.decodeReport(body), executed = result.status == 200)
+        } catch (_: InvalidField) {
+            DirectOutcome.Unanswered
+        }
+    }
+}
