--- a/src/main/kotlin/oxbowlug/api/ClientServer.kt
+++ b/src/main/kotlin/oxbowlug/api/ClientServer.kt
@@ -44,7 +44,7 @@
             path == "/hello" -> withBody(request, HttpMethod.POST, ::report)
             path == "/work" -> withBody(request, HttpMethod.POST, ::submit)
             path == "/healthz" -> reply(request, if (core.isHealthy()) 200 else 503, emptyMap())
-            path == "/metrics" -> request.response().putHeader("content-type", "text/plain; version=0.0.4").end(metrics())
+            path == "/metrics" -> request.response().putHeader("content-type", "text/plain").end(metrics())
             path != null && path.startsWith(WORK) -> job(request, path.substring(WORK.length))
             else -> reply(request, 404, AnswerCodec.problem("no such page"))
         }
@@ -68,13 +68,17 @@
 
     private fun report(request: HttpServerRequest, body: Map<String, Any?>) {
         val report = WorkerCodec.decodeReport(body)
-        offer(request, Command.Report(report) { answer ->
-            when (answer) {
-                is ReportAnswer.Taken -> reply(request, 200, WorkerCodec.encodeAnswer(answer.token, answer.commands))
-                is ReportAnswer.Redirect -> reply(request, 421, AnswerCodec.redirect(answer.label))
-                ReportAnswer.Unavailable -> reply(request, 503, emptyMap())
+        offer(
+            request,
+            Command.Report(report) { answer ->
+                when (answer) {
+                    is ReportAnswer.Taken ->
+                        reply(request, 200, WorkerCodec.encodeAnswer(answer.token, answer.commands))
+                    is ReportAnswer.Redirect -> reply(request, 421, AnswerCodec.redirect(answer.label))
+                    ReportAnswer.Unavailable -> reply(request, 503, emptyMap())
+                }
             }
-        })
+        )
     }
 
     private fun answer(request: HttpServerRequest, answer: UserAnswer) {
@@ -89,7 +93,8 @@
     }
 
     private fun answerCancel(request: HttpServerRequest, answer: UserAnswer) {
-        if (answer is UserAnswer.Known) reply(request, 200, AnswerCodec.accepted(answer.view)) else answer(request, answer)
+        if (answer !is UserAnswer.Known) return answer(request, answer)
+        reply(request, 200, AnswerCodec.accepted(answer.view))
     }
 
     private fun later(request: HttpServerRequest, status: Int, afterS: Int, why: String) {
--- a/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
+++ b/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
@@ -39,7 +39,9 @@
 
     fun text(): String = buildString {
         for (meter in registry.meters.sortedBy { it.id.name }) {
-            for (measurement in meter.measure()) append(line(meter.id, measurement.statistic.tagValueRepresentation, measurement.value))
+            for (measurement in meter.measure()) {
+                append(line(meter.id, measurement.statistic.tagValueRepresentation, measurement.value))
+            }
         }
     }
 
--- a/src/main/kotlin/oxbowlug/cli/Main.kt
+++ b/src/main/kotlin/oxbowlug/cli/Main.kt
@@ -28,7 +28,8 @@
     }
     when {
         options.has(help) -> {
-            println("oxbowlug: a scheduler for fleets that serve language models\n\nUsage: oxbowlug --config FILE [--policy FILE]\n")
+            println("oxbowlug: a scheduler for fleets that serve language models\n")
+            println("Usage: oxbowlug --config FILE [--policy FILE]\n")
             parser.printHelpOn(System.out)
             println("\nLOG_LEVEL sets what is logged to standard error: error, warn, info (default) or debug.")
             return
--- a/src/main/kotlin/oxbowlug/cli/Service.kt
+++ b/src/main/kotlin/oxbowlug/cli/Service.kt
@@ -39,7 +39,9 @@
                 .setPreferNativeTransport(false)
                 .setBlockedThreadCheckInterval(1)
                 .setBlockedThreadCheckIntervalUnit(TimeUnit.HOURS)
-                .setFileSystemOptions(FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)),
+                .setFileSystemOptions(
+                    FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false),
+                ),
         )
         val context = vertx.getOrCreateContext()
         context.runOnContext { run(vertx, context) }
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -30,9 +30,10 @@
     private val replica = Replica(state, clock, timing, Listener())
     private val authority = Authority(self, state, clock, timing, replica)
 
-    // The leader writes most, so half of the write rate is its own; the other half is shared by all.
+    // Half of the write rate is for accepting and cancelling. A controller may use all of that half, since users are
+    // rarely everywhere at once; where they are, the state service refuses the surplus and it is tried again.
     private val leaderWrites = RateBudget(settings.state.writeRps * 0.5)
-    private val ownWrites = RateBudget(settings.state.writeRps * 0.5 / settings.nodes, settings.state.writeRps * 0.25)
+    private val ownWrites = RateBudget(settings.state.writeRps * 0.5)
     private val cloudBudget = RateBudget(settings.cloud.rps * 0.8)
     private val desk = Desk(self, settings, state, clock, timing, replica, ownWrites, meters)
     private var types: Map<TypeName, MachineType> = emptyMap()
@@ -78,7 +79,10 @@
     fun news(): PeerNews = PeerNews(self, replica.view?.epoch ?: 0, replica.view?.leader)
 
     /** Who answers for a machine. With one part, the leader answers for all of them. */
-    private fun owner(@Suppress("UNUSED_PARAMETER") machine: MachineId, role: Role): Member? = when (role) {
+    private fun owner(
+        @Suppress("UNUSED_PARAMETER") machine: MachineId,
+        role: Role
+    ): Member? = when (role) {
         is Role.Leader -> role.view.leader
         is Role.Caretaker -> role.view.leader
         is Role.Follower -> role.leader
@@ -102,7 +106,9 @@
         val view = replica.view
         if (view != null && report.token > view.token) authority.hearOfEpoch(report.token.value, null)
         val owner = owner(report.machine, role) ?: return ReportAnswer.Unavailable
-        if (owner != self) return if (owner.label == self.label) ReportAnswer.Unavailable else ReportAnswer.Redirect(owner.label)
+        // An earlier life of ours led: until the next election nobody does.
+        if (owner != self && owner.label == self.label) return ReportAnswer.Unavailable
+        if (owner != self) return ReportAnswer.Redirect(owner.label)
         val leading = leading() ?: return ReportAnswer.Unavailable
         if (report.token > leading.view.token) return ReportAnswer.Unavailable
         val commands = leading.onReport(report, mayCommand = role is Role.Leader) ?: return ReportAnswer.Redirect(null)
@@ -155,8 +161,8 @@
             log.info("epoch {} is led by {}", view.epoch, view.leader.label)
         }
 
-        override fun onJob(id: JobId, job: StoredJob) {
-            leader?.fleet?.takeJob(id, job)
+        override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) {
+            leader?.fleet?.takeJob(id, job, value)
         }
 
         override fun onMembers() = Unit
--- a/src/main/kotlin/oxbowlug/core/Desk.kt
+++ b/src/main/kotlin/oxbowlug/core/Desk.kt
@@ -62,10 +62,11 @@
                 }
             }
         }
-        if (!admission.tryEnter() || !budget.tryTake(1.0, now)) {
+        if (budget.available(now) < 1.0 || !admission.tryEnter()) {
             meters.refused("overload")
             return answer(UserAnswer.Overloaded(RETRY_AFTER_S))
         }
+        budget.take(1.0, now)
         accept(spec, now, answer)
     }
 
@@ -94,8 +95,10 @@
         val stored = replica.job(id)
         if (stored != null && stored.phase.isFinal) return answer(UserAnswer.Known(stored.view(id)))
         replica.catchUp { ok ->
-            if (ok && replica.job(id) != null) answer(UserAnswer.Known(view(id)))
-            else answer(unavailable("the state service is away"))
+            if (ok && replica.job(id) != null)
+                answer(UserAnswer.Known(view(id)))
+            else
+                answer(unavailable("the state service is away"))
         }
     }
 
@@ -177,7 +180,7 @@
         }
         if (!fits) return "a task fits no allowed machine type"
         val atOnce = if (spec.kind == JobKind.SERVICE) spec.tasks else 1
-        if (spec.cores * atOnce > team.maxCores || spec.gpus * atOnce > team.maxGpus) return "needs more than the team's limit"
-        return null
+        val overLimit = spec.cores * atOnce > team.maxCores || spec.gpus * atOnce > team.maxGpus
+        return if (overLimit) "needs more than the team's limit" else null
     }
 }
--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -37,12 +37,11 @@
         return machines.getOrPut(id) { Machine(id, clock.steadyMs()) }
     }
 
-    fun takeJob(id: JobId, stored: StoredJob) {
-        val value = stored.value
+    fun takeJob(id: JobId, stored: StoredJob, value: Map<String, Any?>) {
         val present = jobs[id]
         val now = clock.steadyMs()
         if (present == null) {
-            if (value == null) return
+            if (stored.value == null) return
             val record = JobRecord.decode(value)
             val job = Job(record, stored.version)
             if (record.phase == Phase.CANCELLED) job.cancelledAt = now
@@ -53,10 +52,8 @@
             return
         }
         if (stored.version <= present.version) return
-        // Without a value: a final record without placements, so a cancellation of a job that had none.
-        val record = if (value == null) cancelledCopy(present) else JobRecord.decode(value)
         val old = present.live.values.toList()
-        if (present.foreignWrite(record, stored.version, now)) {
+        if (present.foreignWrite(JobRecord.decode(value), stored.version, now)) {
             for (placed in old) machines[placed.machine]?.live?.remove(placed.attempt)
             attachAll(present)
         }
@@ -64,9 +61,6 @@
         planWanted = true
     }
 
-    private fun cancelledCopy(job: Job): JobRecord =
-        JobRecord(job.spec, job.submittedMs, Phase.CANCELLED, job.done, job.nextAttempt, emptyMap(), CANCELLED_BY_OTHER)
-
     private fun attachAll(job: Job) {
         for (placed in job.live.values.toList()) {
             val host = machine(placed.machine)
@@ -77,7 +71,7 @@
     private fun stopCancelled(job: Job) {
         for (placed in job.live.values.toList()) {
             val host = machines[placed.machine]
-            if (host == null || !placed.committed || !host.mayBeThere(placed, token)) remove(placed) else pokes.add(host.id)
+            dropOrPoke(host, placed)
         }
     }
 
@@ -90,7 +84,12 @@
     fun stop(placed: Live, reason: StopReason) {
         placed.stop = reason
         val host = machines[placed.machine]
-        if (host == null || !placed.committed || !host.mayBeThere(placed, token)) remove(placed) else pokes.add(host.id)
+        dropOrPoke(host, placed)
+    }
+
+    private fun dropOrPoke(host: Machine?, placed: Live) {
+        val there = host != null && placed.committed && host.mayBeThere(placed, token)
+        if (there) pokes.add(placed.machine) else remove(placed)
     }
 
     /** The attempt is gone, or was never there. */
@@ -297,13 +296,13 @@
         val result = HashSet<ImageName>()
         for (placed in host.live.values) {
             val image = placed.job.spec.image
-            if (placed.seen != TaskState.RUNNING && placed.seen != TaskState.SAVING && image !in host.images) result.add(image)
+            val hasItsImage = placed.seen == TaskState.RUNNING || placed.seen == TaskState.SAVING
+            if (!hasItsImage && image !in host.images) result.add(image)
         }
         return result
     }
 
     private companion object {
-        const val CANCELLED_BY_OTHER = "other"
         val log = LoggerFactory.getLogger("fleet")
     }
 }
--- a/src/main/kotlin/oxbowlug/core/Job.kt
+++ b/src/main/kotlin/oxbowlug/core/Job.kt
@@ -132,7 +132,9 @@
         return if (count == result.size) result else result.copyOf(count)
     }
 
-    fun isStored(attempt: Attempt): Boolean = holds(stored, attempt) || pendingRecord?.let { holds(it.placements, attempt) } == true
+    fun isStored(attempt: Attempt): Boolean = holds(stored, attempt) || pendingRecord?.let {
+        holds(it.placements, attempt)
+    } == true
 
     private fun holds(placements: Map<Int, Placement>, attempt: Attempt): Boolean =
         placements[attempt.task.index]?.attempt == attempt.number
@@ -185,6 +187,8 @@
             nextAttempt = maxOf(nextAttempt, record.nextAttempt)
             replaced = true
         }
+        // A final phase that is stored was or will be told; ours, if another, was not.
+        if (record.phase == Phase.DONE) phase = Phase.DONE
         if (record.phase == Phase.CANCELLED && phase != Phase.CANCELLED) {
             phase = Phase.CANCELLED
             cancelledAt = now
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -40,7 +40,7 @@
     val waitingTasks: Int get() = unplaced
 
     init {
-        replica.forEachActive { id, stored -> fleet.takeJob(id, stored) }
+        replica.forEachActive { id, stored -> stored.value?.let { fleet.takeJob(id, stored, it) } }
     }
 
     /** A report under our lead. Null: the machine is gone for us, and nothing may renew it. */
--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -155,11 +155,7 @@
         val type = types[request.type] ?: return
         val readyInS = maxOf(SOON_S, type.bootS - (now - order.orderedAt) / 1000.0)
         repeat(request.count) {
-            machines.add(
-                PlanMachine(
-                    null, type, request.zone, request.spot, type.amounts(), readyInS, emptySet(), emptySet(), emptyList(),
-                ),
-            )
+            machines.add(PlanMachine.ordered(type, request.zone, request.spot, readyInS))
         }
     }
 
--- a/src/main/kotlin/oxbowlug/core/Replica.kt
+++ b/src/main/kotlin/oxbowlug/core/Replica.kt
@@ -1,6 +1,7 @@
 package oxbowlug.core
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap
+import org.slf4j.LoggerFactory
 import oxbowlug.wire.Entry
 import oxbowlug.wire.Event
 import oxbowlug.wire.InvalidField
@@ -8,7 +9,6 @@
 import oxbowlug.wire.JobView
 import oxbowlug.wire.ShownState
 import oxbowlug.wire.fields
-import org.slf4j.LoggerFactory
 
 /** A job as the state service has it. [value] is kept only while the job isn't final. */
 class StoredJob(
@@ -29,7 +29,8 @@
 interface ReplicaListener {
     fun onView(view: View)
 
-    fun onJob(id: JobId, job: StoredJob)
+    /** [value] is the record as it is stored, also of a job whose record the copy doesn't keep. */
+    fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>)
 
     fun onMembers()
 }
@@ -213,7 +214,7 @@
         if (present != null && present.version >= event.version) return
         val stored = StoredJobs.read(value, event.version)
         jobs[id] = stored
-        listener.onJob(JobId(id), stored)
+        listener.onJob(JobId(id), stored, value)
     }
 
     private companion object {
--- a/src/main/kotlin/oxbowlug/peer/PeerLink.kt
+++ b/src/main/kotlin/oxbowlug/peer/PeerLink.kt
@@ -5,11 +5,11 @@
 import io.vertx.core.net.NetClientOptions
 import io.vertx.core.net.NetServerOptions
 import io.vertx.core.net.NetSocket
-import okio.Buffer as Frames
 import org.slf4j.LoggerFactory
 import oxbowlug.config.Address
 import oxbowlug.config.Settings
 import oxbowlug.core.PeerNews
+import okio.Buffer as Frames
 
 /**
  * One connection to each other controller, over which this one tells its newest view. So a controller that lost
@@ -52,7 +52,11 @@
         val socket = outgoing[index]
         if (socket != null) {
             // A peer that reads nothing any more must not be written to for ever.
-            if (socket.writeQueueFull()) socket.close() else socket.write(Buffer.buffer(PeerFrames.encode(news()).readByteArray()))
+            if (socket.writeQueueFull()) {
+                socket.close()
+            } else {
+                socket.write(Buffer.buffer(PeerFrames.encode(news()).readByteArray()))
+            }
             return
         }
         if (connecting[index]) return
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -58,7 +58,8 @@
             return true
         }
         val coming = cheapest(job, need, zones) { it.isReady && need.fitsIn(it.free + it.coming) }
-        val preempted = if (coming == null) Preemption.choose(job, need, team, zones, machines, snapshot.teams) else null
+        val preempted =
+            if (coming == null) Preemption.choose(job, need, team, zones, machines, snapshot.teams) else null
         val booting = cheapest(job, need, zones) { !it.isReady && need.fitsIn(it.free) }
         val host = when {
             coming != null -> coming
@@ -106,7 +107,8 @@
         for (machine in machines) {
             if (!Constraints.allow(job, machine) || !zones.allows(machine.zone) || !fits(machine)) continue
             val price = machine.type.price(machine.spot)
-            val cost = Pricing.cost(job, need, machine.type, price, machine.readyInS + machine.fetchS(job.spec), snapshot) +
+            val delayS = machine.readyInS + machine.fetchS(job.spec)
+            val cost = Pricing.cost(job, need, machine.type, price, delayS, snapshot) +
                 Pricing.idleCost(machine.type, price, machine.free - need, snapshot)
             if (cost < bestCost) {
                 best = machine
@@ -143,9 +145,7 @@
         val kind = best ?: return null
         val type = bestType ?: return null
         rentals.merge(kind, 1, Int::plus)
-        val machine = PlanMachine(
-            null, type, kind.zone, kind.spot, type.amounts(), type.bootS.coerceAtLeast(1.0), emptySet(), emptySet(), emptyList(),
-        )
+        val machine = PlanMachine.ordered(type, kind.zone, kind.spot, type.bootS.coerceAtLeast(1.0))
         machines.add(machine)
         return machine
     }
@@ -173,7 +173,7 @@
         return (
             Pricing.cost(job, need, type, price, type.bootS + fetchS, snapshot) +
                 Pricing.idleCost(type, price, leftover, snapshot)
-            ) * crowd
+        ) * crowd
     }
 
     private fun roomiestZone(job: PlanJob, need: Amounts): Zone? {
@@ -230,7 +230,7 @@
 }
 
 object Ranking {
-    /** By the penalty of postponing, the largest first; then the longest waiting; then by id, so that a plan repeats. */
+    /** By priority, then by the penalty of postponing, then the longest waiting; by id, so that a plan repeats. */
     fun order(jobs: List<PlanJob>, horizonS: Double, postponeFactor: Double): List<PlanJob> =
         jobs.sortedWith(
             compareBy<PlanJob> { it.spec.priority.ordinal }
@@ -263,7 +263,8 @@
         val runS = if (job.spec.kind == JobKind.SERVICE) snapshot.horizonS else job.estimateS
         val deadline = job.deadlineInS ?: (2.0 * job.estimateS)
         val tardiness = maxOf(0.0, delayS + job.estimateS - deadline)
-        return type.share(need) * price / HOUR_S * runS + omega(job, snapshot) * tardiness + delayS * EAGERNESS * omega(job, snapshot)
+        val rent = type.share(need) * price / HOUR_S * runS
+        return rent + omega(job, snapshot) * (tardiness + delayS * EAGERNESS)
     }
 
     /** mu for each slot that stays idle, in the price of the slot for one horizon. */
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -78,6 +78,7 @@
     val stopped = HashSet<Attempt>()
     val isReady: Boolean get() = readyInS <= 0.0
 
+    /** Takes [need] of what is free now. */
     fun take(need: Amounts) {
         free -= need
     }
@@ -98,6 +99,13 @@
         spec.image in fetching -> spec.imageGb / type.fetchGbPerS * 0.5 * fetching.size
         else -> spec.imageGb / type.fetchGbPerS * (1 + fetching.size)
     }
+
+    companion object {
+        /** An empty machine without a name yet. */
+        fun ordered(type: MachineType, zone: Zone, spot: Boolean, readyInS: Double) = PlanMachine(
+            null, type, zone, spot, type.amounts(), readyInS, emptySet(), emptySet(), emptyList(),
+        )
+    }
 }
 
 class PlanJob(
@@ -136,7 +144,8 @@
         stoppingGpus += need.gpus
     }
 
-    fun hasRoomFor(need: Amounts): Boolean = cores + need.cores <= maxCores + SLACK && gpus + need.gpus <= maxGpus + SLACK
+    fun hasRoomFor(need: Amounts): Boolean =
+        cores + need.cores <= maxCores + SLACK && gpus + need.gpus <= maxGpus + SLACK
 
     /** A guarantee of 0 is none, so a team needs a guarantee in whatever the task takes. */
     fun guarantees(need: Amounts): Boolean {
--- a/src/main/kotlin/oxbowlug/state/StateClient.kt
+++ b/src/main/kotlin/oxbowlug/state/StateClient.kt
@@ -35,7 +35,7 @@
     private fun commitOutcome(result: CallResult.Answered): CommitOutcome {
         val body = result.body
         return when (result.status) {
-            200 -> if (body == null) CommitOutcome.Unanswered else CommitOutcome.Applied(StoreCodec.decodeRevision(body))
+            200 -> body?.let { CommitOutcome.Applied(StoreCodec.decodeRevision(it)) } ?: CommitOutcome.Unanswered
             409 -> CommitOutcome.Conflict(body?.let(StoreCodec::decodeFailed).orEmpty())
             400 -> CommitOutcome.Invalid
             429, 503 -> CommitOutcome.Refused
--- a/src/main/kotlin/oxbowlug/wire/Fields.kt
+++ b/src/main/kotlin/oxbowlug/wire/Fields.kt
@@ -11,7 +11,7 @@
     fun text(name: String, maxLength: Int = MAX_TEXT): String {
         val value = map[name] ?: throw InvalidField(name, "is missing")
         if (value !is String) throw InvalidField(name, "must be text")
-        if (value.isEmpty() || value.length > maxLength) throw InvalidField(name, "must have 1 to $maxLength characters")
+        if (value.length !in 1..maxLength) throw InvalidField(name, "must have 1 to $maxLength characters")
         return value
     }
 
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/wire/JobSpecCodecTest.kt
@@ -0,0 +1,58 @@
+package oxbowlug.wire
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+
+class JobSpecCodecTest {
+    @Test
+    fun `a spec survives its encoding`() {
+        val spec = JobSpecCodec.decode(valid())
+        assertEquals(spec, JobSpecCodec.decode(Cbor.decode(Cbor.encode(JobSpecCodec.encode(spec)))))
+        assertEquals(16, spec.tasks)
+        assertEquals(Priority.HIGH, spec.priority)
+        assertEquals(900.0, spec.deadlineS)
+    }
+
+    @Test
+    fun `unknown fields are ignored and nullable ones may be missing`() {
+        val map = valid() + ("colour" to "green") - "breeds" - "paddock" - "dusk_s"
+        val spec = JobSpecCodec.decode(map)
+        assertEquals(null, spec.types)
+        assertEquals(null, spec.zone)
+        assertEquals(null, spec.deadlineS)
+    }
+
+    @ParameterizedTest
+    @MethodSource("invalid")
+    fun `an invalid field is named`(case: Pair<String, Any?>) {
+        val (field, value) = case
+        val error = assertThrows(InvalidField::class.java) { JobSpecCodec.decode(valid() + (field to value)) }
+        assertEquals(field, error.field)
+    }
+
+    companion object {
+        fun valid(): Map<String, Any?> = mapOf(
+            "id" to "run-000412", "harness" to "train", "yoke" to "vision", "gait" to "batch", "urgency" to "urgent",
+            "furrows" to 16L, "cores" to 8.0, "gpus" to 1.0, "mem_gb" to 64.0, "seedbag" to "img-07", "pull_gb" to 6.2,
+            "breeds" to listOf("g8"), "paddock" to null, "same_place" to true, "scatter" to false, "stray" to true,
+            "haul_s" to 240.0, "rest_s" to 30.0, "stow_s" to 4.0, "dusk_s" to 900.0,
+        )
+
+        @JvmStatic
+        fun invalid(): List<Pair<String, Any?>> = listOf(
+            "id" to null, "id" to "", "id" to "run/1", "id" to "run 1", "id" to 7L, "id" to "x".repeat(101),
+            "harness" to 1L, "harness" to "x".repeat(81), "yoke" to null,
+            "gait" to "group", "gait" to "Batch", "urgency" to "soon",
+            "furrows" to 0L, "furrows" to 100_001L, "furrows" to 1.0, "furrows" to "1", "furrows" to -1L,
+            "cores" to -1.0, "cores" to Double.NaN, "cores" to Double.POSITIVE_INFINITY,
+            "cores" to "8", "cores" to true,
+            "gpus" to null, "mem_gb" to 1e13, "seedbag" to "", "pull_gb" to -0.1,
+            "breeds" to "g8", "breeds" to listOf(1L), "breeds" to listOf(""), "breeds" to List(17) { "t$it" },
+            "paddock" to 1L, "same_place" to null, "scatter" to 1L, "stray" to "true",
+            "haul_s" to null, "rest_s" to -1.0, "stow_s" to 1e10, "dusk_s" to "soon", "dusk_s" to Double.NaN,
+        )
+    }
+}
