--- a/src/main/kotlin/oxbowlug/core/Desk.kt
+++ b/src/main/kotlin/oxbowlug/core/Desk.kt
@@ -179,7 +179,7 @@
                 need.fitsIn(type.amounts())
         }
         if (!fits) return "a task fits no allowed machine type"
-        val atOnce = if (spec.kind == JobKind.SERVICE) spec.tasks else 1
+        val atOnce = if (spec.kind == JobKind.ARRAY) 1 else spec.tasks
         val overLimit = spec.cores * atOnce > team.maxCores || spec.gpus * atOnce > team.maxGpus
         return if (overLimit) "needs more than the team's limit" else null
     }
--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -296,7 +296,7 @@
         val result = HashSet<ImageName>()
         for (placed in host.live.values) {
             val image = placed.job.spec.image
-            val hasItsImage = placed.seen == TaskState.RUNNING || placed.seen == TaskState.SAVING
+            val hasItsImage = placed.seen != null && placed.seen != TaskState.FETCHING
             if (!hasItsImage && image !in host.images) result.add(image)
         }
         return result
--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -57,11 +57,26 @@
             postponeFactor = policy.postponeFactor,
             idleSlotPenalty = policy.idleSlotPenalty,
             mayRent = rentals.listedOnce,
+            besideGpu = besideGpu(),
         )
     }
 
+    private fun besideGpu(): Amounts {
+        var cores = 0.0
+        var memoryGb = 0.0
+        for (job in fleet.jobs.values) {
+            val spec = job.spec
+            if (spec.gpus <= 0.0 || job.phase != Phase.ACTIVE) continue
+            cores = maxOf(cores, spec.cores / spec.gpus)
+            memoryGb = maxOf(memoryGb, spec.memoryGb / spec.gpus)
+        }
+        return Amounts(cores, 0.0, memoryGb)
+    }
+
     private fun job(job: Job, now: Long): PlanJob? {
         if (job.phase != Phase.ACTIVE || now < job.holdUntil) return null
+        // A gang starts again only as a whole: what is left of it ends by itself when its mates are gone.
+        if (job.spec.kind == JobKind.GANG && job.live.isNotEmpty()) return null
         val pending = job.pendingTasks(minOf(MAX_TASKS_PER_ROUND, recordRoom(job)))
         if (pending.isEmpty()) return null
         val zoneUse = HashMap<Zone, Int>()
@@ -104,7 +119,7 @@
             readyInS = readyInS,
             images = host.images,
             fetching = fleet.fetching(host),
-            tenants = host.live.values.map { tenant(it, now) },
+            tenants = host.live.values.map { tenant(it, type, now) },
         )
     }
 
@@ -131,7 +146,7 @@
         return sum
     }
 
-    private fun tenant(placed: Live, now: Long): Tenant {
+    private fun tenant(placed: Live, type: MachineType, now: Long): Tenant {
         val spec = placed.job.spec
         val ranS = if (placed.seen == TaskState.RUNNING) (now - placed.seenRunningAt) / 1000.0 else 0.0
         return Tenant(
@@ -141,6 +156,8 @@
             need = spec.amounts(),
             saveS = if (spec.savesWork) spec.saveS else 0.0,
             lossS = if (spec.savesWork) spec.saveS else ranS,
+            restartS = spec.imageGb / type.fetchGbPerS.coerceAtLeast(1e-9) * RESTART_FETCHES,
+            weight = weights.of(spec.className),
             stopping = !placed.isWanted,
         )
     }
@@ -178,6 +195,9 @@
     private companion object {
         const val MAX_TASKS_PER_ROUND = 512
         const val SOON_S = 1.0
+
+        /** A stopped task fetches its image again on about every other machine that it may go to. */
+        const val RESTART_FETCHES = 0.5
     }
 }
 
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -27,6 +27,18 @@
 
     private fun place(job: PlanJob) {
         val team = snapshot.teams[job.spec.team] ?: return
+        val startsBefore = starts.size
+        placeTasks(job, team)
+        // A gang gets all its placements in one round or none; what it took stays reserved for it in this plan.
+        val placed = starts.size - startsBefore
+        if (job.spec.kind == JobKind.GANG && placed < job.pending.size) {
+            val withheld = starts.subList(startsBefore, starts.size)
+            withheld.forEach { reserved.add(it.machine) }
+            withheld.clear()
+        }
+    }
+
+    private fun placeTasks(job: PlanJob, team: PlanTeam) {
         val need = job.spec.amounts()
         val zones = ZoneRule(job)
         if (job.spec.oneZone && zones.fixed == null) zones.fixed = roomiestZone(job, need)
@@ -50,22 +62,20 @@
         zones: ZoneRule,
         left: Int,
     ): Boolean {
-        val ready = cheapest(job, need, zones) { it.isReady && need.fitsIn(it.free) }
-        if (ready != null) {
-            ready.take(need)
-            starts.add(Start(job.id, task, ready.id ?: error("a ready machine has a name")))
-            settle(ready.zone, need, team, zones)
-            return true
-        }
-        val coming = cheapest(job, need, zones) { it.isReady && need.fitsIn(it.free + it.coming) }
-        val preempted =
-            if (coming == null) Preemption.choose(job, need, team, zones, machines, snapshot.teams) else null
-        val booting = cheapest(job, need, zones) { !it.isReady && need.fitsIn(it.free) }
+        val ready = cheapest(job, need, zones, 0.0) { it.isReady && need.fitsIn(it.free) }
+        if (ready != null && ready.delayS <= 0.0) return start(ready.machine, job, task, need, team, zones)
+        // A place that isn't free yet is taken only for an earlier start: where the image is, for one.
+        val coming = cheapest(job, need, zones, COMING_S) { it.isReady && need.fitsIn(it.free + it.coming) }
+        val stopping = Preemption.choose(job, need, team, zones, snapshot, machines)
+        val readyCost = ready?.cost ?: Double.POSITIVE_INFINITY
+        val comingCost = coming?.cost ?: Double.POSITIVE_INFINITY
+        val stoppingCost = stopping?.cost ?: Double.POSITIVE_INFINITY
         val host = when {
-            coming != null -> coming
-            preempted != null -> preempted.machine.also { stopAll(preempted) }
-            booting != null -> booting
-            else -> rent(job, need, zones, left) ?: return false
+            ready != null && readyCost <= minOf(comingCost, stoppingCost) ->
+                return start(ready.machine, job, task, need, team, zones)
+            coming != null && comingCost <= stoppingCost -> coming.machine
+            stopping != null -> stopping.machine.also { stopAll(stopping) }
+            else -> bootingOrRented(job, need, zones, left) ?: return false
         }
         if (host.isReady) promise(host, need) else host.take(need)
         host.id?.let(reserved::add)
@@ -73,6 +83,20 @@
         return true
     }
 
+    private fun start(
+        host: PlanMachine,
+        job: PlanJob,
+        task: Int,
+        need: Amounts,
+        team: PlanTeam,
+        zones: ZoneRule,
+    ): Boolean {
+        host.take(need)
+        starts.add(Start(job.id, task, host.id ?: error("a ready machine has a name")))
+        settle(host.zone, need, team, zones)
+        return true
+    }
+
     private fun promise(host: PlanMachine, need: Amounts) {
         // The room is part free now and part coming: what is free must not be given away meanwhile.
         val now = Amounts(
@@ -91,6 +115,7 @@
 
     private fun stopAll(choice: Preemption.Choice) {
         for (victim in choice.victims) {
+            snapshot.teams[victim.team]?.expectStop(victim.need)
             choice.machine.stop(victim)
             stops.add(victim.attempt)
         }
@@ -100,27 +125,45 @@
         job: PlanJob,
         need: Amounts,
         zones: ZoneRule,
+        waitS: Double,
         fits: (PlanMachine) -> Boolean,
-    ): PlanMachine? {
+    ): Offer? {
         var best: PlanMachine? = null
         var bestCost = Double.POSITIVE_INFINITY
+        var bestDelayS = 0.0
         for (machine in machines) {
             if (!Constraints.allow(job, machine) || !zones.allows(machine.zone) || !fits(machine)) continue
             val price = machine.type.price(machine.spot)
-            val delayS = machine.readyInS + machine.fetchS(job.spec)
+            val delayS = machine.readyInS + waitS + machine.fetchS(job.spec)
             val cost = Pricing.cost(job, need, machine.type, price, delayS, snapshot) +
-                Pricing.idleCost(machine.type, price, machine.free - need, snapshot)
+                Pricing.idleCost(machine.type, price, machine.free - need, snapshot) +
+                Pricing.strandCost(machine.type, price, machine.free, need, snapshot)
             if (cost < bestCost) {
                 best = machine
                 bestCost = cost
+                bestDelayS = delayS
             }
         }
-        return best
+        return best?.let { Offer(it, bestCost, bestDelayS) }
     }
 
-    /** Adds a machine of the cheapest kind that may still be had. */
-    private fun rent(job: PlanJob, need: Amounts, zones: ZoneRule, left: Int): PlanMachine? {
-        if (!snapshot.mayRent) return null
+    private class Offer(val machine: PlanMachine, val cost: Double, val delayS: Double)
+
+    private fun bootingOrRented(job: PlanJob, need: Amounts, zones: ZoneRule, left: Int): PlanMachine? {
+        val booting = cheapest(job, need, zones, 0.0) { !it.isReady && need.fitsIn(it.free) }
+        val rental = if (snapshot.mayRent) cheapestRental(job, need, zones, left) else null
+        if (rental == null || (booting != null && booting.cost <= rental.cost)) return booting?.machine
+        rentals.merge(rental.kind, 1, Int::plus)
+        val kind = rental.kind
+        val machine = PlanMachine.ordered(rental.type, kind.zone, kind.spot, rental.type.bootS.coerceAtLeast(1.0))
+        machines.add(machine)
+        return machine
+    }
+
+    private class RentalOffer(val kind: Kind, val type: MachineType, val cost: Double)
+
+    /** A machine of the cheapest kind that may still be had. */
+    private fun cheapestRental(job: PlanJob, need: Amounts, zones: ZoneRule, left: Int): RentalOffer? {
         var best: Kind? = null
         var bestType: MachineType? = null
         var bestCost = Double.POSITIVE_INFINITY
@@ -143,11 +186,7 @@
             }
         }
         val kind = best ?: return null
-        val type = bestType ?: return null
-        rentals.merge(kind, 1, Int::plus)
-        val machine = PlanMachine.ordered(type, kind.zone, kind.spot, type.bootS.coerceAtLeast(1.0))
-        machines.add(machine)
-        return machine
+        return RentalOffer(kind, bestType ?: return null, bestCost)
     }
 
     private fun rentalCost(
@@ -172,7 +211,8 @@
         val crowd = 1.0 + machines.count { it.zone == zone } * CROWDING + zones.used(zone) * CROWDING
         return (
             Pricing.cost(job, need, type, price, type.bootS + fetchS, snapshot) +
-                Pricing.idleCost(type, price, leftover, snapshot)
+                Pricing.idleCost(type, price, leftover, snapshot) * (type.bootS + Pricing.serviceS(snapshot)) +
+                Pricing.strandCost(type, price, type.amounts(), need, snapshot)
         ) * crowd
     }
 
@@ -195,6 +235,9 @@
     private companion object {
         val SPOT_CHOICES = booleanArrayOf(true, false)
         const val CROWDING = 1e-4
+
+        /** Room that is coming free is there after about a report and a plan. */
+        const val COMING_S = 2.0
     }
 }
 
@@ -260,25 +303,48 @@
         delayS: Double,
         snapshot: Snapshot,
     ): Double {
-        val runS = if (job.spec.kind == JobKind.SERVICE) snapshot.horizonS else job.estimateS
+        val runS = if (job.spec.kind == JobKind.SERVICE) serviceS(snapshot) else job.estimateS
         val deadline = job.deadlineInS ?: (2.0 * job.estimateS)
         val tardiness = maxOf(0.0, delayS + job.estimateS - deadline)
         val rent = type.share(need) * price / HOUR_S * runS
         return rent + omega(job, snapshot) * (tardiness + delayS * EAGERNESS)
     }
 
-    /** mu for each slot that stays idle, in the price of the slot for one horizon. */
+    /** Nobody says how long a service will run; it is priced as if it stayed for some horizons. */
+    fun serviceS(snapshot: Snapshot): Double = snapshot.horizonS * SERVICE_HORIZONS
+
+    /** mu for each slot that stays idle, in the price of the slot for one second. */
     fun idleCost(type: MachineType, price: Double, left: Amounts, snapshot: Snapshot): Double {
         val idle = if (type.gpus > 0.0) left.gpus else left.cores
         val slots = type.slots.coerceAtLeast(1.0)
-        return snapshot.idleSlotPenalty * maxOf(0.0, idle) / slots * price / HOUR_S * IDLE_SCALE
+        return snapshot.idleSlotPenalty * maxOf(0.0, idle) / slots * price / HOUR_S
+    }
+
+    /**
+     * GPUs that no job could use any more, because [need] takes the cores or the memory that belong beside them.
+     * A service may stay for long, so they count for many horizons.
+     */
+    fun strandCost(type: MachineType, price: Double, free: Amounts, need: Amounts, snapshot: Snapshot): Double {
+        if (type.gpus <= 0.0) return 0.0
+        val lost = usableGpus(free, snapshot.besideGpu) - usableGpus(free - need, snapshot.besideGpu) - need.gpus
+        return maxOf(0.0, lost) * price / type.gpus / HOUR_S * snapshot.horizonS * STRAND_HORIZONS
+    }
+
+    private fun usableGpus(free: Amounts, beside: Amounts): Double {
+        var usable = free.gpus
+        if (beside.cores > 0.0) usable = minOf(usable, free.cores / beside.cores)
+        if (beside.memoryGb > 0.0) usable = minOf(usable, free.memoryGb / beside.memoryGb)
+        return maxOf(0.0, usable)
     }
 
     /** The weight is in prices: a second late costs [PlanJob.weight] times the dearest machine's second. */
-    private fun omega(job: PlanJob, snapshot: Snapshot): Double =
-        job.weight * (snapshot.types.maxOfOrNull { it.price } ?: 0.0) / HOUR_S
+    private fun omega(job: PlanJob, snapshot: Snapshot): Double = omega(job.weight, snapshot)
+
+    fun omega(weight: Double, snapshot: Snapshot): Double =
+        weight * (snapshot.types.maxOfOrNull { it.price } ?: 0.0) / HOUR_S
 
     /** Even an early start is worth something: it frees the machine earlier. */
     private const val EAGERNESS = 0.05
-    private const val IDLE_SCALE = 1.0
+    private const val SERVICE_HORIZONS = 10.0
+    private const val STRAND_HORIZONS = 100.0
 }
--- a/src/main/kotlin/oxbowlug/plan/Preemption.kt
+++ b/src/main/kotlin/oxbowlug/plan/Preemption.kt
@@ -3,8 +3,9 @@
 import oxbowlug.wire.TeamName
 
 /**
- * Which work may be stopped for which: lower priority always; for a job inside its team's guarantee also what
- * another team runs beyond its own. Nothing else ever displaces work of the same or a higher priority.
+ * Which work may be stopped for which: lower priority, unless that work is within its team's guarantee and the job
+ * isn't; and for a job inside its team's guarantee also what another team runs beyond its own. Nothing else ever
+ * displaces work of the same or a higher priority.
  */
 object Preemption {
     class Choice(val machine: PlanMachine, val victims: List<Tenant>, val cost: Double)
@@ -14,18 +15,17 @@
         need: Amounts,
         team: PlanTeam,
         zones: ZoneRule,
+        snapshot: Snapshot,
         machines: List<PlanMachine>,
-        teams: Map<TeamName, PlanTeam>,
     ): Choice? {
         var best: Choice? = null
         val guaranteed = team.guarantees(need)
         for (machine in machines) {
             if (!machine.isReady || machine.tenants.isEmpty()) continue
             if (!Constraints.allow(job, machine) || !zones.allows(machine.zone)) continue
-            val choice = victims(job, need, guaranteed, machine, teams) ?: continue
+            val choice = victims(job, need, guaranteed, machine, snapshot) ?: continue
             if (best == null || choice.cost < best.cost) best = choice
         }
-        best?.let { choice -> for (victim in choice.victims) teams[victim.team]?.expectStop(victim.need) }
         return best
     }
 
@@ -34,11 +34,11 @@
         need: Amounts,
         guaranteed: Boolean,
         machine: PlanMachine,
-        teams: Map<TeamName, PlanTeam>,
+        snapshot: Snapshot,
     ): Choice? {
         val candidates = machine.tenants.filter { tenant ->
             !tenant.stopping && tenant.attempt !in machine.stopped &&
-                mayStop(job, guaranteed, tenant, teams)
+                mayStop(job, guaranteed, tenant, snapshot.teams)
         }
         if (candidates.isEmpty()) return null
         var room = machine.free + machine.coming
@@ -49,14 +49,25 @@
             chosen.add(tenant)
             room += tenant.need
         }
-        if (!need.fitsIn(room)) return null
-        val cost = chosen.sumOf { it.lossS + it.saveS } + machine.fetchS(job.spec) + chosen.maxOf { it.saveS }
-        return Choice(machine, chosen, cost)
+        if (chosen.isEmpty() || !need.fitsIn(room)) return null
+        val delayS = chosen.maxOf { it.saveS } + REACTION_S + machine.fetchS(job.spec)
+        val price = machine.type.price(machine.spot)
+        val losses = chosen.sumOf { victim ->
+            Pricing.omega(victim.weight, snapshot) * (victim.saveS + victim.lossS + victim.restartS)
+        }
+        return Choice(machine, chosen, Pricing.cost(job, need, machine.type, price, delayS, snapshot) + losses)
     }
 
+    /**
+     * Work inside its team's guarantee gives way only to other work inside one. Otherwise two teams could stop each
+     * other in turn for ever, one by its priority and the other by its guarantee.
+     */
     fun mayStop(job: PlanJob, guaranteed: Boolean, tenant: Tenant, teams: Map<TeamName, PlanTeam>): Boolean {
-        if (tenant.priority > job.spec.priority) return true
-        if (!guaranteed || tenant.team == job.spec.team) return false
-        return teams[tenant.team]?.borrows(tenant.need) ?: false
+        val borrows = teams[tenant.team]?.borrows(tenant.need) ?: true
+        if (tenant.priority > job.spec.priority) return guaranteed || borrows || tenant.team == job.spec.team
+        return guaranteed && borrows && tenant.team != job.spec.team
     }
+
+    /** A stop is told, seen and planned for in about this time. */
+    private const val REACTION_S = 1.0
 }
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -52,6 +52,9 @@
     val saveS: Double,
     /** Work that stopping it would lose. */
     val lossS: Double,
+    /** Time until it runs again elsewhere. */
+    val restartS: Double,
+    val weight: Double,
     /** On its way out: its room comes free by itself. */
     val stopping: Boolean,
 )
@@ -181,6 +184,8 @@
     val postponeFactor: Double,
     val idleSlotPenalty: Double,
     val mayRent: Boolean,
+    /** The most cores and memory that a job of today takes beside each GPU. */
+    val besideGpu: Amounts = Amounts.NONE,
 )
 
 class Refusal(val blocked: Boolean, val penalty: Double)
--- a/src/main/kotlin/oxbowlug/wire/JobSpec.kt
+++ b/src/main/kotlin/oxbowlug/wire/JobSpec.kt
@@ -6,6 +6,9 @@
 
     /** Replicas that run until the job is cancelled. */
     SERVICE("standing"),
+
+    /** Tasks that need one another: they are placed together or not at all. */
+    GANG("group"),
 }
 
 /** From the most to the least urgent; only a more urgent one may displace another. */
