Hold room for expected arrivals; empty one machine a round when it pays

Cause: replicas waited for a boot or a fetch with no room held for them, and at the end of a wave nearly empty GPU machines stayed up for a few small replicas.

--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -17,7 +17,12 @@
  * Jobs and machines as their leader knows them, kept in step. An attempt leaves the account only by one of the
  * proofs in docs/safety.md; silence, a refused connection or a young list prove nothing.
  */
-class Fleet(val token: Token, private val clock: Clock, private val timing: Timing) {
+class Fleet(
+    val token: Token,
+    private val clock: Clock,
+    private val timing: Timing,
+    val arrivals: Arrivals,
+) {
     val jobs = LinkedHashMap<JobId, Job>()
     val machines = LinkedHashMap<MachineId, Machine>()
 
@@ -46,6 +51,7 @@
             val job = Job(record, stored.version)
             if (record.phase == Phase.CANCELLED) job.cancelledAt = now
             jobs[id] = job
+            arrivals.add(job.spec, job.submittedMs)
             job.liveFrom(record)
             attachAll(job)
             planWanted = true
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -26,12 +26,13 @@
     private val meters: Meters,
 ) {
     private val startedAt = clock.steadyMs()
-    val fleet = Fleet(view.token, clock, timing)
+    val fleet = Fleet(view.token, clock, timing, Arrivals(settings, timing.arrivalsMs))
     private val commits = Commits(view, self, settings, state, clock, timing, writeBudget, replica, fleet)
     private val rentals = Rentals(self, settings, cloud, clock, timing, cloudBudget, fleet)
     private val planning = Planning(settings, clock, timing, fleet, rentals, startedAt)
     private var nextPlanAt = 0L
     private var nextRoundAt = 0L
+    private var nextMoveAt = startedAt + (settings.policy.replanS * 1000).toLong()
     private var reserved: Set<MachineId> = emptySet()
     private var unplaced = 0
 
@@ -81,7 +82,9 @@
     private fun plan(types: Map<TypeName, MachineType>, now: Long) {
         fleet.planWanted = false
         val began = System.nanoTime()
-        val plan = Planner(planning.snapshot(types)).plan()
+        val mayMove = now >= nextMoveAt
+        if (mayMove) nextMoveAt = now + (settings.policy.replanS * 1000).toLong()
+        val plan = Planner(planning.snapshot(types, mayMove)).plan()
         meters.planned(System.nanoTime() - began)
         planning.apply(plan)
         reserved = plan.reserved
@@ -138,7 +141,7 @@
             return
         }
         val bootMs = (types[host.type]?.bootS ?: return) * 1000.0
-        if (now - since > settings.policy.idleBoots * bootMs) rentals.scheduleReturn(host, "idle")
+        if (host.emptying || now - since > settings.policy.idleBoots * bootMs) rentals.scheduleReturn(host, "idle")
     }
 
     /** True once nothing is left to be said directly. */
--- a/src/main/kotlin/oxbowlug/core/Machine.kt
+++ b/src/main/kotlin/oxbowlug/core/Machine.kt
@@ -42,6 +42,9 @@
     var returning = false
     var quarantined = false
 
+    /** What was on it is being moved, so that it can be returned. */
+    var emptying = false
+
     /** It reports, but doesn't do what it is told: our answers and commands don't reach it. */
     var deaf = false
     val failedJobs = HashSet<String>()
--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -11,6 +11,7 @@
 import oxbowlug.plan.Tenant
 import oxbowlug.plan.amounts
 import oxbowlug.wire.ClassName
+import oxbowlug.wire.JobId
 import oxbowlug.wire.JobKind
 import oxbowlug.wire.MachineState
 import oxbowlug.wire.MachineType
@@ -29,9 +30,10 @@
 ) {
     private val policy = settings.policy
     private val weights = ClassWeights(settings)
+    private val startedWallMs = clock.wallMs()
     private val valueLimit = (settings.state.valueKb * 1024).toInt()
 
-    fun snapshot(types: Map<TypeName, MachineType>): Snapshot {
+    fun snapshot(types: Map<TypeName, MachineType>, mayMove: Boolean): Snapshot {
         val now = clock.steadyMs()
         val teams = settings.teams.mapValues { (_, team) ->
             PlanTeam(team.maxCores, team.maxGpus, team.guaranteedCores, team.guaranteedGpus)
@@ -48,7 +50,7 @@
         for (host in fleet.machines.values) machine(host, types, now)?.let(machines::add)
         for (order in rentals.ordered) addOrdered(order, types, now, machines)
         return Snapshot(
-            jobs = fleet.jobs.values.mapNotNull { job(it, now) },
+            jobs = fleet.jobs.values.mapNotNull { job(it, now) } + reserves(types),
             machines = machines,
             teams = teams,
             types = types.values.toList(),
@@ -58,6 +60,8 @@
             idleSlotPenalty = policy.idleSlotPenalty,
             mayRent = rentals.listedOnce,
             besideGpu = besideGpu(),
+            settledS = timing.settledS,
+            mayMove = mayMove,
         )
     }
 
@@ -79,15 +83,13 @@
         if (job.spec.kind == JobKind.GANG && job.live.isNotEmpty()) return null
         val pending = job.pendingTasks(minOf(MAX_TASKS_PER_ROUND, recordRoom(job)))
         if (pending.isEmpty()) return null
-        val zoneUse = HashMap<Zone, Int>()
-        for (placed in job.live.values) fleet.machines[placed.machine]?.zone?.let { zoneUse.merge(it, 1, Int::plus) }
         job.avoid.values.removeIf { it <= now }
         val waitedS = (clock.wallMs() - job.submittedMs) / 1000.0
         return PlanJob(
             id = job.id,
             spec = job.spec,
             pending = pending,
-            zoneUse = zoneUse,
+            zoneUse = zoneUse(job),
             waitedS = waitedS,
             estimateS = if (job.spec.kind == JobKind.SERVICE) 0.0 else job.spec.estimateS,
             deadlineInS = job.spec.deadlineS?.let { it - waitedS },
@@ -96,6 +98,33 @@
         )
     }
 
+    private fun zoneUse(job: Job): Map<Zone, Int> {
+        val use = HashMap<Zone, Int>()
+        for (placed in job.live.values) fleet.machines[placed.machine]?.zone?.let { use.merge(it, 1, Int::plus) }
+        return use
+    }
+
+    /** Room for what is expected to come while a machine boots, as one job a class. */
+    private fun reserves(types: Map<TypeName, MachineType>): List<PlanJob> {
+        val expected = fleet.arrivals.expected(clock.wallMs(), startedWallMs) { spec ->
+            types.values.filter { spec.types == null || it.name in spec.types }.minOfOrNull { it.bootS } ?: 0.0
+        }
+        return expected.map { (example, count) ->
+            PlanJob(
+                id = JobId("reserve-${example.className}"),
+                spec = example.copy(tasks = count * 2, zone = null, oneZone = false),
+                pending = IntArray(count) { it },
+                zoneUse = emptyMap(),
+                waitedS = 0.0,
+                estimateS = 0.0,
+                deadlineInS = null,
+                weight = weights.of(example.className),
+                avoid = emptySet(),
+                isReserve = true,
+            )
+        }
+    }
+
     /** How many more tasks may be placed so that the record stays inside the value limit, however they end. */
     private fun recordRoom(job: Job): Int {
         val perTask = JobRecord.PLACEMENT_BOUND + Ranges.RANGE_BOUND
@@ -108,7 +137,7 @@
     private fun machine(host: Machine, types: Map<TypeName, MachineType>, now: Long): PlanMachine? {
         val type = types[host.type ?: return null] ?: return null
         val zone = host.zone ?: return null
-        if (host.returning || host.quarantined || host.deaf || host.noticeUntil != null || host.lost) return null
+        if (host.returning || host.emptying || host.quarantined || host.deaf || host.noticeUntil != null || host.lost) return null
         val readyInS = readyInS(host, type, now) ?: return null
         return PlanMachine(
             id = host.id,
@@ -151,11 +180,9 @@
         val ranS = if (placed.seen == TaskState.RUNNING) (now - placed.seenRunningAt) / 1000.0 else 0.0
         return Tenant(
             attempt = placed.attempt,
-            priority = spec.priority,
-            team = spec.team,
-            need = spec.amounts(),
-            saveS = if (spec.savesWork) spec.saveS else 0.0,
-            lossS = if (spec.savesWork) spec.saveS else ranS,
+            spec = spec,
+            zoneUse = zoneUse(placed.job),
+            ranS = ranS,
             restartS = spec.imageGb / type.fetchGbPerS.coerceAtLeast(1e-9) * RESTART_FETCHES,
             weight = weights.of(spec.className),
             stopping = !placed.isWanted,
@@ -189,6 +216,13 @@
             val placed = fleet.jobs[attempt.task.job]?.live?.get(attempt.task.index) ?: continue
             if (placed.attempt == attempt) fleet.stop(placed, StopReason.PREEMPTED)
         }
+        plan.move?.let { move ->
+            fleet.machines[move.machine]?.emptying = true
+            for (attempt in move.stops) {
+                val placed = fleet.jobs[attempt.task.job]?.live?.get(attempt.task.index) ?: continue
+                if (placed.attempt == attempt) fleet.stop(placed, StopReason.DRAINED)
+            }
+        }
         for ((kind, count) in plan.rentals) rentals.rent(kind, count)
     }
 
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -55,6 +55,10 @@
     /** Plans are at least this far apart, so that a burst of events is planned for together. */
     val planGapMs: Long = reportMs.toLong() / 20
     val replanSoonMs: Long = reportMs.toLong() * 2
+
+    /** The protocol counts a start that was not stopped by command within 30 s; a lease more is on the safe side. */
+    val settledS: Double = 30.0 + settings.workers.leaseS
+    val arrivalsMs: Long = (settings.policy.replanS * 6000).toLong()
     val drainMarginMs: Long = reportMs.toLong() * 3
 
     /** Without an answer of the state service for this long, submissions are refused at once. */
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/plan/Consolidation.kt
@@ -0,0 +1,71 @@
+package oxbowlug.plan
+
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.JobSpec
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.Zone
+
+/**
+ * Empties one machine a round when everything on it fits elsewhere at once and what is saved outweighs both one
+ * boot of machine time and the time that the moved replicas are down.
+ */
+object Consolidation {
+    class Move(val machine: MachineId, val stops: List<Attempt>)
+
+    fun choose(machines: List<PlanMachine>, reserved: Set<MachineId>, snapshot: Snapshot): Move? {
+        val candidates = machines
+            .filter {
+                it.isReady && it.id != null && it.tenants.isNotEmpty() && it.id !in reserved && movable(it, snapshot)
+            }
+            .sortedByDescending { gain(it, snapshot) }
+        for (machine in candidates) {
+            if (gain(machine, snapshot) <= 0.0) return null
+            if (fitsElsewhere(machine, machines)) {
+                return Move(machine.id ?: continue, machine.tenants.map { it.attempt })
+            }
+        }
+        return null
+    }
+
+    private fun movable(machine: PlanMachine, snapshot: Snapshot): Boolean = machine.tenants.all { tenant ->
+        !tenant.stopping && tenant.spec.kind == JobKind.SERVICE && tenant.ranS >= snapshot.settledS
+    }
+
+    private fun gain(machine: PlanMachine, snapshot: Snapshot): Double {
+        val perSecond = machine.type.price(machine.spot) / 3600.0
+        val saved = perSecond * Pricing.serviceS(snapshot)
+        val down = machine.tenants.size * Pricing.omega(1.0, snapshot) * MOVE_S
+        val boot = perSecond * machine.type.bootS
+        return saved - maxOf(boot, down)
+    }
+
+    private fun fitsElsewhere(machine: PlanMachine, machines: List<PlanMachine>): Boolean {
+        val free = HashMap<PlanMachine, Amounts>()
+        val zoneUse = HashMap<String, HashMap<Zone, Int>>()
+        for (tenant in machine.tenants) {
+            val spec = tenant.spec
+            val use = zoneUse.getOrPut(spec.id.value) { HashMap(tenant.zoneUse) }
+            use.merge(machine.zone, -1, Int::plus)
+            val host = machines.firstOrNull { other ->
+                other !== machine && other.isReady && !other.isEmpty && allows(spec, other, use) &&
+                    spec.image in other.images && spec.amounts().fitsIn(free[other] ?: other.free)
+            } ?: return false
+            free[host] = (free[host] ?: host.free) - spec.amounts()
+            use.merge(host.zone, 1, Int::plus)
+        }
+        return true
+    }
+
+    private fun allows(spec: JobSpec, host: PlanMachine, use: Map<Zone, Int>): Boolean {
+        if (host.spot && !spec.spot) return false
+        if (spec.types != null && host.type.name !in spec.types) return false
+        if (spec.zone != null && host.zone != spec.zone) return false
+        val others = use.filterValues { it > 0 }
+        if (spec.oneZone && others.keys.any { it != host.zone }) return false
+        return (use[host.zone] ?: 0) < spec.zoneCap
+    }
+
+    /** A moved replica is down for about a report, a plan and a start. */
+    private const val MOVE_S = 3.0
+}
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -21,8 +21,12 @@
     private var unplaced = 0
 
     fun plan(): Plan {
-        for (job in Ranking.order(snapshot.jobs, snapshot.horizonS, snapshot.postponeFactor)) place(job)
-        return Plan(starts, stops, rentals, reserved, unplaced)
+        val (reserves, jobs) = snapshot.jobs.partition { it.isReserve }
+        for (job in Ranking.order(jobs, snapshot.horizonS, snapshot.postponeFactor)) place(job)
+        val calm = unplaced == 0 && stops.isEmpty()
+        for (job in Ranking.order(reserves, snapshot.horizonS, snapshot.postponeFactor)) reserve(job)
+        val move = if (calm && snapshot.mayMove) Consolidation.choose(machines, reserved, snapshot) else null
+        return Plan(starts, stops, rentals, reserved, unplaced, move)
     }
 
     private fun place(job: PlanJob) {
@@ -38,6 +42,19 @@
         }
     }
 
+    /** Holds room for tasks that are expected, or rents it; whatever is really there goes first. */
+    private fun reserve(job: PlanJob) {
+        val need = job.spec.amounts()
+        val zones = ZoneRule(job)
+        for (index in job.pending.indices) {
+            val ready = cheapest(job, need, zones, 0.0) { it.isReady && need.fitsIn(it.free) }
+            val host = ready?.machine ?: bootingOrRented(job, need, zones, job.pending.size - index) ?: return
+            host.take(need)
+            host.id?.let(reserved::add)
+            zones.use(host.zone)
+        }
+    }
+
     private fun placeTasks(job: PlanJob, team: PlanTeam) {
         val need = job.spec.amounts()
         val zones = ZoneRule(job)
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -45,19 +45,27 @@
 /** A task that holds part of a machine. */
 class Tenant(
     val attempt: Attempt,
-    val priority: Priority,
-    val team: TeamName,
-    val need: Amounts,
-    /** Time to stop it with its work saved. */
-    val saveS: Double,
-    /** Work that stopping it would lose. */
-    val lossS: Double,
+    val spec: JobSpec,
+    /** Where its job's tasks are. */
+    val zoneUse: Map<Zone, Int>,
+    /** How long it has run; 0 while it waits for its image. */
+    val ranS: Double,
     /** Time until it runs again elsewhere. */
     val restartS: Double,
     val weight: Double,
     /** On its way out: its room comes free by itself. */
     val stopping: Boolean,
-)
+) {
+    val priority: Priority get() = spec.priority
+    val team: TeamName get() = spec.team
+    val need: Amounts = spec.amounts()
+
+    /** Time to stop it with its work saved. */
+    val saveS: Double get() = if (spec.savesWork) spec.saveS else 0.0
+
+    /** Work that stopping it would lose. */
+    val lossS: Double get() = if (spec.savesWork) spec.saveS else ranS
+}
 
 class PlanMachine(
     /** Null for a machine that this plan rents. */
@@ -80,6 +88,7 @@
         private set
     val stopped = HashSet<Attempt>()
     val isReady: Boolean get() = readyInS <= 0.0
+    val isEmpty: Boolean get() = tenants.isEmpty()
 
     /** Takes [need] of what is free now. */
     fun take(need: Amounts) {
@@ -126,6 +135,8 @@
     val weight: Double,
     /** Machines on which this job failed, or was refused, a short while ago. */
     val avoid: Set<MachineId>,
+    /** Stands for tasks that are expected, not there yet: holds room, starts nothing and stops nothing. */
+    val isReserve: Boolean = false,
 )
 
 class PlanTeam(val maxCores: Double, val maxGpus: Double, val guaranteedCores: Double, val guaranteedGpus: Double) {
@@ -186,6 +197,9 @@
     val mayRent: Boolean,
     /** The most cores and memory that a job of today takes beside each GPU. */
     val besideGpu: Amounts = Amounts.NONE,
+    /** A task that was started less than this long ago is not moved: its start would not count. */
+    val settledS: Double = 30.0,
+    val mayMove: Boolean = false,
 )
 
 class Refusal(val blocked: Boolean, val penalty: Double)
@@ -199,4 +213,5 @@
     /** Machines, ready or not, on which this plan relies for tasks that can't start yet. */
     val reserved: Set<MachineId>,
     val unplaced: Int,
+    val move: Consolidation.Move? = null,
 )
