--- a/src/main/kotlin/oxbowlug/core/Commits.kt
+++ b/src/main/kotlin/oxbowlug/core/Commits.kt
@@ -12,7 +12,7 @@
  */
 class Commits(
     private val view: View,
-    private val self: Member,
+    private val names: Names,
     private val settings: Settings,
     private val state: StatePort,
     private val clock: Clock,
@@ -23,7 +23,6 @@
 ) {
     private val valueLimit = settings.state.valueKb * 1024
     private var inFlight = 0
-    private var writes = 0L
     private var notBefore = 0L
 
     /** The view changed under us: someone else leads. */
@@ -69,7 +68,7 @@
         val changes = ArrayList<Change>(group.size)
         for (job in group) {
             conditions.add(Condition(Keys.job(job.id.value), job.version))
-            val record = job.beginWrite("${self.incarnation}-${writes++}")
+            val record = job.beginWrite(names.next())
             changes.add(Change.Put(Keys.job(job.id.value), record.encode()))
         }
         state.commit(Transaction(conditions, changes)) { outcome ->
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -35,7 +35,8 @@
     private val leaderWrites = RateBudget(settings.state.writeRps * 0.5)
     private val ownWrites = RateBudget(settings.state.writeRps * 0.5)
     private val cloudBudget = RateBudget(settings.cloud.rps * 0.8)
-    private val desk = Desk(self, settings, state, clock, timing, replica, ownWrites, meters)
+    private val names = Names(self)
+    private val desk = Desk(names, settings, state, clock, timing, replica, ownWrites, meters)
     private var types: Map<TypeName, MachineType> = emptyMap()
     private var fetchingTypes = false
     private var nextTypesAt = 0L
@@ -135,7 +136,7 @@
         if (!replica.synced || replica.revision < view.version) return null
         log.info("leading at epoch {}", view.epoch)
         val next = Leader(
-            view, self, settings, state, cloud, workers, clock, timing, replica, leaderWrites, cloudBudget, meters,
+            view, names, settings, state, cloud, workers, clock, timing, replica, leaderWrites, cloudBudget, meters,
         )
         leader = next
         return next
--- a/src/main/kotlin/oxbowlug/core/Desk.kt
+++ b/src/main/kotlin/oxbowlug/core/Desk.kt
@@ -32,7 +32,7 @@
 
 /** Answers users. Every controller does, each with the same answers, because each first catches up with the store. */
 class Desk(
-    private val self: Member,
+    private val names: Names,
     private val settings: Settings,
     private val state: StatePort,
     private val clock: Clock,
@@ -42,7 +42,6 @@
     private val meters: Meters,
 ) {
     private val admission = AdmissionLimit()
-    private var writes = 0L
     val inProgress: Int get() = admission.inProgress
     val limit: Int get() = admission.limit
 
@@ -72,7 +71,7 @@
 
     private fun accept(spec: JobSpec, now: Long, answer: (UserAnswer) -> Unit) {
         val record = JobRecord(
-            spec, clock.wallMs(), Phase.ACTIVE, BitSet(), 1, emptyMap(), "${self.incarnation}-a${writes++}",
+            spec, clock.wallMs(), Phase.ACTIVE, BitSet(), 1, emptyMap(), names.next(),
         )
         val key = Keys.job(spec.id.value)
         val transaction = Transaction(listOf(Condition(key, 0)), listOf(Change.Put(key, record.encode())))
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -13,7 +13,7 @@
 /** What a leader has beside its model: everything here ends with its view. */
 class Leader(
     val view: View,
-    self: Member,
+    names: Names,
     private val settings: Settings,
     state: StatePort,
     cloud: CloudPort,
@@ -27,8 +27,8 @@
 ) {
     private val startedAt = clock.steadyMs()
     val fleet = Fleet(view.token, clock, timing, Arrivals(settings, timing.arrivalsMs))
-    private val commits = Commits(view, self, settings, state, clock, timing, writeBudget, replica, fleet)
-    private val rentals = Rentals(self, settings, cloud, clock, timing, cloudBudget, fleet)
+    private val commits = Commits(view, names, settings, state, clock, timing, writeBudget, replica, fleet)
+    private val rentals = Rentals(names, settings, cloud, clock, timing, cloudBudget, fleet)
     private val planning = Planning(settings, clock, timing, fleet, rentals, startedAt)
     private var nextPlanAt = 0L
     private var nextRoundAt = 0L
--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -137,7 +137,8 @@
     private fun machine(host: Machine, types: Map<TypeName, MachineType>, now: Long): PlanMachine? {
         val type = types[host.type ?: return null] ?: return null
         val zone = host.zone ?: return null
-        if (host.returning || host.emptying || host.quarantined || host.deaf || host.noticeUntil != null || host.lost) return null
+        val isUnfit = host.returning || host.emptying || host.quarantined || host.deaf || host.lost
+        if (isUnfit || host.noticeUntil != null) return null
         val readyInS = readyInS(host, type, now) ?: return null
         return PlanMachine(
             id = host.id,
--- a/src/main/kotlin/oxbowlug/core/Records.kt
+++ b/src/main/kotlin/oxbowlug/core/Records.kt
@@ -24,6 +24,17 @@
 /** One life of a controller process: a restarted one is never mistaken for its earlier self. */
 data class Member(val label: String, val incarnation: String)
 
+/**
+ * Names for rentals and writes, none of which is ever used twice. They are counted for the whole life of the process:
+ * counted by a leader's term, a second term of the same life would repeat them, and the cloud would answer a new
+ * rental with the machines of an old one of another kind.
+ */
+class Names(private val self: Member) {
+    private var next = 0L
+
+    fun next(): String = "${self.label}-${self.incarnation}-${next++}"
+}
+
 /** Who leads. Every change raises [epoch]; [token] is the epoch at which the present leader took over. */
 data class View(val epoch: Long, val token: Token, val leader: Member, val version: Long) {
     fun encode(): Map<String, Any?> = mapOf(
--- a/src/main/kotlin/oxbowlug/core/Rentals.kt
+++ b/src/main/kotlin/oxbowlug/core/Rentals.kt
@@ -18,7 +18,7 @@
 
 /** The leader's dealings with the cloud: the list, rentals as planned, returns, and which kinds refuse. */
 class Rentals(
-    private val self: Member,
+    private val names: Names,
     private val settings: Settings,
     private val cloud: CloudPort,
     private val clock: Clock,
@@ -33,7 +33,6 @@
     private var nextListAt = 0L
     private var returning = false
     private var nextReturnAt = 0L
-    private var requests = 0L
 
     /** Machines that the list shows are known before anything is rented. */
     var listedOnce = false
@@ -56,9 +55,7 @@
         while (left > 0) {
             val part = minOf(left, CloudCodec.MAX_RENTED)
             left -= part
-            // A name is never used twice: it carries this life of the controller and a number within it.
-            val name = "${self.label}-${self.incarnation}-${requests++}"
-            val order = Ordered(RentalRequest(name, kind.type, kind.zone, kind.spot, part), now, false, now)
+            val order = Ordered(RentalRequest(names.next(), kind.type, kind.zone, kind.spot, part), now, false, now)
             ordered.add(order)
             if (budget.tryTake(1.0, now)) ask(order)
         }
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/Rules.kt
@@ -0,0 +1,104 @@
+package oxbowlug.sim
+
+import oxbowlug.core.UserAnswer
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.JobSpec
+import oxbowlug.wire.JobView
+import oxbowlug.wire.ShownState
+
+/** The protocol's rules, checked against what the workers and the users really see. */
+class Rules(private val world: World, private val limits: Map<String, Double>, private val cancelMs: Long) {
+    class Known(val spec: JobSpec) {
+        var accepted = false
+        var askedToCancel = false
+        var cancelledAt: Long? = null
+        var told: ShownState? = null
+        val done = HashSet<Int>()
+        val started = HashSet<Int>()
+    }
+
+    val broken = ArrayList<String>()
+    val jobs = LinkedHashMap<String, Known>()
+    var starts = 0
+        private set
+
+    private fun fail(rule: String, what: String) {
+        broken.add("${world.nowMs} ms $rule: $what")
+    }
+
+    fun started(machine: SimWorker, attempt: Attempt, workers: List<SimWorker>) {
+        starts++
+        val job = jobs.getValue(attempt.task.job.value)
+        val spec = job.spec
+        job.started.add(attempt.task.index)
+        var inZone = 1
+        for (other in workers) {
+            for (running in other.onMachine()) {
+                if (running.attempt.task.job != attempt.task.job || running.attempt == attempt && other === machine) continue
+                if (running.attempt.task == attempt.task && other !== machine) {
+                    fail("ran_twice", "$attempt on ${machine.id} while on ${other.id}")
+                }
+                if (other.zone == machine.zone) inZone++
+                if (spec.oneZone && other.zone != machine.zone) fail("wrong_place", "$attempt outside its job's zone")
+            }
+        }
+        if (inZone > spec.zoneCap) fail("wrong_place", "$attempt is number $inZone of $spec in ${machine.zone}")
+        if (machine.spot && !spec.spot) fail("wrong_place", "$attempt on a spot machine")
+        if (spec.zone != null && spec.zone != machine.zone) fail("wrong_place", "$attempt in ${machine.zone}")
+        if (spec.types != null && machine.type.name !in spec.types) fail("wrong_place", "$attempt on ${machine.type.name}")
+        val cancelledAt = job.cancelledAt
+        if (cancelledAt != null && world.nowMs > cancelledAt + cancelMs) fail("ran_cancelled", "$attempt starts")
+    }
+
+    fun check(workers: List<SimWorker>) {
+        val gpus = HashMap<String, Double>()
+        for (worker in workers) {
+            for (running in worker.onMachine()) {
+                val job = jobs.getValue(running.attempt.task.job.value)
+                gpus.merge(job.spec.team.value, job.spec.gpus, Double::plus)
+                val cancelledAt = job.cancelledAt ?: continue
+                if (world.nowMs > cancelledAt + cancelMs) fail("ran_cancelled", "${running.attempt} on ${worker.id}")
+            }
+            for (task in worker.tasks.values) {
+                if (task.cause == oxbowlug.wire.ExitCause.DONE) {
+                    jobs[task.attempt.task.job.value]?.done?.add(task.attempt.task.index)
+                }
+            }
+        }
+        for ((team, used) in gpus) {
+            if (used > (limits[team] ?: Double.MAX_VALUE) + 1e-6) fail("quota", "$team uses $used GPUs")
+        }
+    }
+
+    fun told(id: String, answer: UserAnswer) {
+        val job = jobs[id]
+        when (answer) {
+            is UserAnswer.Accepted -> jobs.getValue(id).accepted = true
+            is UserAnswer.Known -> if (job == null) fail("invented", id) else toldState(id, job, answer.view)
+            UserAnswer.NotFound -> if (job?.accepted == true) fail("forgotten", "$id is answered 404")
+            is UserAnswer.Rejected -> if (job?.accepted == true) fail("forgotten", "$id is answered 422")
+            is UserAnswer.Overloaded, is UserAnswer.Unavailable -> Unit
+        }
+    }
+
+    private fun toldState(id: String, job: Known, view: JobView) {
+        job.accepted = true
+        val before = job.told
+        val isFinal = before == ShownState.DONE || before == ShownState.CANCELLED
+        if (isFinal && view.state != before) fail("went_back", "$id was $before and is ${view.state}")
+        if (view.state == ShownState.CANCELLED) {
+            if (!job.askedToCancel) fail("went_back", "$id is called cancelled")
+            if (job.cancelledAt == null) job.cancelledAt = world.nowMs
+        }
+        if (view.state == ShownState.DONE && job.done.size < job.spec.tasks) {
+            fail("not_done", "$id has ${job.done.size} of ${job.spec.tasks} tasks done")
+        }
+        job.told = view.state
+    }
+
+    fun unfinished(): List<String> = jobs.filterValues { job ->
+        job.accepted && job.cancelledAt == null && !job.askedToCancel &&
+            if (job.spec.kind == JobKind.ARRAY) job.told != ShownState.DONE else job.started.size < job.spec.tasks
+    }.keys.toList()
+}
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/SimCloud.kt
@@ -0,0 +1,92 @@
+package oxbowlug.sim
+
+import oxbowlug.core.RentalOutcome
+import oxbowlug.wire.ListedMachine
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineState
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.RentalRequest
+import oxbowlug.wire.Zone
+
+/** The cloud by its published protocol: named rentals, boot times, a lagging list. */
+class SimCloud(
+    private val world: World,
+    val types: List<MachineType>,
+    private val capacity: Int,
+    private val lagMs: Long,
+    private val makeWorker: (MachineId, MachineType, Zone, Boolean) -> SimWorker,
+) {
+    private class Rented(val worker: SimWorker, val rentedAt: Long) {
+        var up = false
+        var failedAt: Long? = null
+    }
+
+    private val machines = sortedMapOf<String, Rented>()
+    private val answers = HashMap<String, List<MachineId>>()
+    private val lists = ArrayDeque<Pair<Long, List<ListedMachine>>>()
+    private var next = 0
+    var down = false
+
+    init {
+        world.every(250) {
+            lists.addLast(world.nowMs to current())
+            while (lists.size > 2 && lists[1].first < world.nowMs - 2 * lagMs) lists.removeFirst()
+        }
+    }
+
+    val workers: List<SimWorker> get() = machines.values.map { it.worker }
+
+    fun rent(request: RentalRequest): RentalOutcome {
+        answers[request.name]?.let { return RentalOutcome.Rented(it) }
+        val type = types.first { it.name == request.type }
+        val count = minOf(request.count, capacity - machines.size)
+        if (count <= 0) return RentalOutcome.NoCapacity
+        val ids = List(count) { MachineId("host-%06d".format(next++)) }
+        for (id in ids) add(id, type, request.zone, request.spot, (type.bootS * 1000).toLong())
+        answers[request.name] = ids
+        return RentalOutcome.Rented(ids)
+    }
+
+    fun add(id: MachineId, type: MachineType, zone: Zone, spot: Boolean, bootMs: Long) {
+        val rented = Rented(makeWorker(id, type, zone, spot), world.nowMs)
+        machines[id.value] = rented
+        world.after(bootMs) {
+            if (machines[id.value] === rented) {
+                rented.up = true
+                rented.worker.boot()
+            }
+        }
+    }
+
+    fun giveBack(ids: List<MachineId>) {
+        for (id in ids) machines.remove(id.value)?.let { it.worker.alive = false }
+    }
+
+    /** A spot machine is taken: it is gone with no trace but its absence. */
+    fun take(id: MachineId) = giveBack(listOf(id))
+
+    /** A machine dies: listed as running for a while, then as failed. */
+    fun fail(id: MachineId) {
+        val rented = machines[id.value] ?: return
+        rented.worker.alive = false
+        world.after(30_000) { rented.failedAt = world.nowMs }
+    }
+
+    private fun current(): List<ListedMachine> = machines.values.map { rented ->
+        val worker = rented.worker
+        val state = when {
+            rented.failedAt != null -> MachineState.FAILED
+            rented.up -> MachineState.RUNNING
+            else -> MachineState.BOOTING
+        }
+        ListedMachine(
+            worker.id, worker.endpoint, worker.type.name, worker.zone, worker.spot, state,
+            (world.nowMs - rented.rentedAt) / 1000.0,
+        )
+    }
+
+    fun list(): List<ListedMachine> {
+        val age = world.between(lagMs / 2, 2 * lagMs - 250)
+        return lists.lastOrNull { it.first <= world.nowMs - age }?.second ?: emptyList()
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -0,0 +1,215 @@
+package oxbowlug.sim
+
+import oxbowlug.config.Address
+import oxbowlug.config.Settings
+import oxbowlug.core.ChangesOutcome
+import oxbowlug.core.CloudPort
+import oxbowlug.core.Command
+import oxbowlug.core.CommitOutcome
+import oxbowlug.core.Core
+import oxbowlug.core.DirectOutcome
+import oxbowlug.core.Member
+import oxbowlug.core.Meters
+import oxbowlug.core.RentalOutcome
+import oxbowlug.core.ReportAnswer
+import oxbowlug.core.StatePort
+import oxbowlug.core.TouchOutcome
+import oxbowlug.core.WorkerPort
+import oxbowlug.wire.ListedMachine
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.ReadPage
+import oxbowlug.wire.RentalRequest
+import oxbowlug.wire.Token
+import oxbowlug.wire.Transaction
+import oxbowlug.wire.WorkerCommand
+import oxbowlug.wire.WorkerReport
+import kotlin.random.Random
+
+/** Faults of messages, as shares of them. */
+class Weather(var lost: Double = 0.0, var late: Double = 0.0, var lateMs: Long = 20_000)
+
+/** One controller: the real core on virtual time, with ports that lose, delay and execute late. */
+class SimNode(
+    private val world: World,
+    private val settings: Settings,
+    private val store: SimStore,
+    private val cloud: SimCloud,
+    private val weather: Weather,
+    private val endpoints: (Address) -> SimWorker?,
+    private val peers: () -> List<SimNode>,
+) {
+    private val clock = DriftingClock(world, world.random.nextDouble(0.0, 0.0005), world.between(-50, 50))
+    private var lives = 0
+    private var core: Core? = null
+
+    val label: String get() = settings.label
+    val isUp: Boolean get() = core != null
+
+    /** Cut from the state service alone. */
+    var withoutState = false
+
+    /** Cut from everything. */
+    var cut = false
+
+    fun start() {
+        val life = ++lives
+        // Ports belong to one life of the process: what comes back for an earlier one reaches nobody.
+        val ports = Ports(life)
+        var draining = false
+        val random = Random(world.random.nextLong())
+        val self = Member(label, "life$life-${random.nextInt(1_000_000)}")
+        lateinit var started: Core
+        started = Core(settings, self, ports, ports, ports, clock, NoMeters, random) {
+            if (!draining) {
+                draining = true
+                world.after(0) {
+                    draining = false
+                    if (lives == life && core != null) started.drain()
+                }
+            }
+        }
+        core = started
+        tick(life, started)
+    }
+
+    private fun tick(life: Int, running: Core) {
+        if (lives != life || core == null) return
+        running.offer(Command.Tick)
+        for (peer in peers()) if (peer !== this && !cut && !peer.cut) peer.core?.offer(Command.HeardPeer(running.news()))
+        world.after(50) { tick(life, running) }
+    }
+
+    fun crash() {
+        core = null
+        lives++
+    }
+
+    fun receive(report: WorkerReport, answer: (ReportAnswer?) -> Unit) {
+        val running = core
+        if (cut) return
+        if (running == null) answer(null) else running.offer(Command.Report(report) { if (!cut) answer(it) })
+    }
+
+    /** False when nobody listens. */
+    fun ask(command: Command): Boolean = !cut && (core?.offer(command) ?: false)
+
+    private inner class Ports(private val life: Int) : StatePort, CloudPort, WorkerPort {
+        private fun <T> settle(delayMs: Long, outcome: T, done: (T) -> Unit) {
+            world.after(delayMs) { if (lives == life) core?.offer(Command.Settled { done(outcome) }) }
+        }
+
+        /** A call whose request or answer may be lost, and whose request may be executed late. */
+        private fun <T> call(reachable: () -> Boolean, away: T, lost: T, done: (T) -> Unit, execute: () -> T) {
+            if (cut || !reachable()) return settle(world.between(1, 10), away, done)
+            if (world.chance(weather.late)) {
+                settle(TIMEOUT_MS, lost, done)
+                world.after(world.between(TIMEOUT_MS / 2, weather.lateMs)) { if (reachable()) execute() }
+                return
+            }
+            if (world.chance(weather.lost)) return settle(TIMEOUT_MS, lost, done)
+            world.after(world.between(1, 5)) {
+                if (!reachable()) {
+                    settle(1, away, done)
+                } else {
+                    val outcome = execute()
+                    if (world.chance(weather.lost)) settle(TIMEOUT_MS, lost, done) else settle(world.between(1, 5), outcome, done)
+                }
+            }
+        }
+
+        private fun stateUp() = !store.down && !withoutState
+
+        override fun commit(transaction: Transaction, done: (CommitOutcome) -> Unit) =
+            call(::stateUp, CommitOutcome.Refused, CommitOutcome.Unanswered, done) { store.commit(transaction) }
+
+        override fun readPage(prefix: String, after: String?, done: (ReadPage?) -> Unit) =
+            call<ReadPage?>(::stateUp, null, null, done) { store.read(prefix, after, 7) }
+
+        override fun changes(prefix: String, from: Long, waitMs: Long, done: (ChangesOutcome) -> Unit) {
+            if (waitMs == 0L) {
+                return call(::stateUp, ChangesOutcome.Failed, ChangesOutcome.Failed, done) {
+                    store.changes(prefix, from)
+                }
+            }
+            if (cut || !stateUp()) return settle(5, ChangesOutcome.Failed, done)
+            var answered = false
+            store.watch(prefix, from, waitMs) { outcome ->
+                if (!answered && !withoutState && !cut) {
+                    answered = true
+                    settle(world.between(1, 5), outcome, done)
+                }
+            }
+            world.after(waitMs + TIMEOUT_MS) {
+                if (!answered) {
+                    answered = true
+                    settle(0, ChangesOutcome.Failed, done)
+                }
+            }
+        }
+
+        override fun grant(lifeMs: Long, done: (Long?) -> Unit) =
+            call<Long?>(::stateUp, null, null, done) { store.grant(lifeMs) }
+
+        override fun touch(lease: Long, done: (TouchOutcome) -> Unit) =
+            call(::stateUp, TouchOutcome.FAILED, TouchOutcome.FAILED, done) { store.touch(lease) }
+
+        override fun release(lease: Long) = call(::stateUp, Unit, Unit, {}) { store.release(lease) }
+
+        private fun cloudUp() = !cloud.down
+
+        override fun types(done: (List<MachineType>?) -> Unit) =
+            call<List<MachineType>?>(::cloudUp, null, null, done) { cloud.types }
+
+        override fun rent(request: RentalRequest, done: (RentalOutcome) -> Unit) =
+            call(::cloudUp, RentalOutcome.Refused, RentalOutcome.Unanswered, done) { cloud.rent(request) }
+
+        override fun giveBack(machines: List<MachineId>, done: (Boolean) -> Unit) =
+            call(::cloudUp, false, false, done) {
+                cloud.giveBack(machines)
+                true
+            }
+
+        override fun list(done: (List<ListedMachine>?) -> Unit) =
+            call<List<ListedMachine>?>(::cloudUp, null, null, done) { cloud.list() }
+
+        override fun command(
+            endpoint: Address,
+            token: Token,
+            session: Long,
+            commands: List<WorkerCommand>,
+            done: (DirectOutcome) -> Unit,
+        ) {
+            val worker = endpoints(endpoint)
+            if (cut || worker == null || !worker.alive) return settle(TIMEOUT_MS, DirectOutcome.NotSent, done)
+            var answered = false
+            val delay = if (world.chance(weather.late)) world.between(TIMEOUT_MS, weather.lateMs) else world.between(1, 15)
+            world.after(delay) {
+                worker.direct(token, session, commands) { report, executed ->
+                    if (!answered && !world.chance(weather.lost)) {
+                        answered = true
+                        settle(world.between(1, 15), DirectOutcome.Answered(report, executed), done)
+                    }
+                }
+            }
+            world.after(TIMEOUT_MS) {
+                if (!answered) {
+                    answered = true
+                    settle(0, DirectOutcome.Unanswered, done)
+                }
+            }
+        }
+    }
+
+    private object NoMeters : Meters {
+        override fun planned(nanos: Long) = Unit
+
+        override fun committed(millis: Long) = Unit
+
+        override fun refused(reason: String) = Unit
+    }
+
+    private companion object {
+        const val TIMEOUT_MS = 2000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/SimStore.kt
@@ -0,0 +1,133 @@
+package oxbowlug.sim
+
+import oxbowlug.core.ChangesOutcome
+import oxbowlug.core.CommitOutcome
+import oxbowlug.core.TouchOutcome
+import oxbowlug.wire.Cbor
+import oxbowlug.wire.Change
+import oxbowlug.wire.Changes
+import oxbowlug.wire.Entry
+import oxbowlug.wire.Event
+import oxbowlug.wire.ReadPage
+import oxbowlug.wire.Transaction
+
+/** The state service by its published protocol: revisions, conditions, leases, watches and outages. */
+class SimStore(private val world: World, private val historyLimit: Int = 10_000) {
+    private class Lease(val lifeMs: Long, var endsAt: Long)
+
+    private class Watch(val from: Long, val prefix: String, val answer: (ChangesOutcome) -> Unit, var open: Boolean = true)
+
+    private val entries = sortedMapOf<String, Entry>()
+    private val attached = HashMap<String, Long>()
+    private val leases = HashMap<Long, Lease>()
+    private val history = ArrayDeque<Event>()
+    private val watches = ArrayList<Watch>()
+    private var nextLease = 1L
+    private var droppedUpTo = 0L
+    var revision = 0L
+        private set
+    var down = false
+        set(value) {
+            // After an outage every lease has its full time again.
+            if (field && !value) for (lease in leases.values) lease.endsAt = world.nowMs + lease.lifeMs
+            field = value
+        }
+
+    init {
+        world.every(50) { if (!down) expireLeases() }
+    }
+
+    fun entry(key: String): Entry? = entries[key]
+
+    fun keys(prefix: String): List<String> = entries.keys.filter { it.startsWith(prefix) }
+
+    fun commit(transaction: Transaction): CommitOutcome {
+        val failed = transaction.conditions.filter { (entries[it.key]?.version ?: 0L) != it.version }.map { it.key }
+        if (failed.isNotEmpty()) return CommitOutcome.Conflict(failed)
+        for (change in transaction.changes) {
+            if (change is Change.Put && change.lease != null && change.lease !in leases) return CommitOutcome.Invalid
+        }
+        if (transaction.changes.isEmpty()) return CommitOutcome.Applied(revision)
+        revision++
+        for (change in transaction.changes) apply(change)
+        notifyWatches()
+        return CommitOutcome.Applied(revision)
+    }
+
+    private fun apply(change: Change) {
+        when (change) {
+            is Change.Put -> {
+                // Through the codec, as on the wire: numbers and nulls come back the way a client would see them.
+                val value = Cbor.decode(Cbor.encode(change.value))
+                entries[change.key] = Entry(change.key, value, revision)
+                if (change.lease == null) attached.remove(change.key) else attached[change.key] = change.lease
+                history.addLast(Event(change.key, value, revision))
+            }
+            is Change.Delete -> {
+                entries.remove(change.key)
+                attached.remove(change.key)
+                history.addLast(Event(change.key, null, revision))
+            }
+        }
+        while (history.size > historyLimit) droppedUpTo = history.removeFirst().version
+    }
+
+    fun read(prefix: String, after: String?, limit: Int): ReadPage {
+        val matching = entries.values.filter { it.key.startsWith(prefix) && (after == null || it.key > after) }
+        return ReadPage(matching.take(limit), matching.size > limit, revision)
+    }
+
+    fun changes(prefix: String, from: Long): ChangesOutcome {
+        if (from < droppedUpTo) return ChangesOutcome.TooOld
+        return ChangesOutcome.Read(Changes(history.filter { it.version > from && it.key.startsWith(prefix) }, revision))
+    }
+
+    fun watch(prefix: String, from: Long, waitMs: Long, answer: (ChangesOutcome) -> Unit) {
+        val now = changes(prefix, from)
+        if (now !is ChangesOutcome.Read || now.changes.events.isNotEmpty()) return answer(now)
+        val watch = Watch(from, prefix, answer)
+        watches.add(watch)
+        world.after(waitMs) { close(watch) }
+    }
+
+    private fun close(watch: Watch) {
+        if (!watch.open) return
+        if (down) return world.after(100) { close(watch) }
+        watch.open = false
+        watches.remove(watch)
+        watch.answer(changes(watch.prefix, watch.from))
+    }
+
+    private fun notifyWatches() {
+        for (watch in watches.toList()) {
+            val now = changes(watch.prefix, watch.from)
+            if (now is ChangesOutcome.Read && now.changes.events.isNotEmpty()) close(watch)
+        }
+    }
+
+    fun grant(lifeMs: Long): Long {
+        leases[nextLease] = Lease(lifeMs, world.nowMs + lifeMs)
+        return nextLease++
+    }
+
+    fun touch(id: Long): TouchOutcome {
+        val lease = leases[id] ?: return TouchOutcome.OVER
+        lease.endsAt = world.nowMs + lease.lifeMs
+        return TouchOutcome.RENEWED
+    }
+
+    fun release(id: Long) = end(id)
+
+    private fun expireLeases() {
+        for (id in leases.filterValues { it.endsAt <= world.nowMs }.keys) end(id)
+    }
+
+    private fun end(id: Long) {
+        leases.remove(id)
+        val keys = attached.filterValues { it == id }.keys.toList()
+        if (keys.isEmpty()) return
+        revision++
+        for (key in keys) apply(Change.Delete(key))
+        notifyWatches()
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/SimWorker.kt
@@ -0,0 +1,243 @@
+package oxbowlug.sim
+
+import oxbowlug.core.ReportAnswer
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.ExitCause
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.JobSpec
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.ReportedTask
+import oxbowlug.wire.TaskState
+import oxbowlug.wire.Token
+import oxbowlug.wire.WorkerCommand
+import oxbowlug.wire.WorkerReport
+import oxbowlug.wire.Zone
+
+/** What a worker may know of jobs, and how long their tasks really take. */
+interface JobBook {
+    fun spec(job: String): JobSpec?
+
+    fun runMs(job: String): Long
+
+    fun onStarted(machine: SimWorker, attempt: Attempt)
+}
+
+/** One worker by its published protocol: sessions, leases, tokens, and one report in flight. */
+class SimWorker(
+    private val world: World,
+    private val book: JobBook,
+    private val nodes: () -> List<SimNode>,
+    val id: MachineId,
+    val type: MachineType,
+    val zone: Zone,
+    val spot: Boolean,
+    private val leaseMs: Long,
+    private val reportMs: Long,
+) {
+    class Running(
+        val attempt: Attempt,
+        var state: TaskState,
+        var cause: ExitCause? = null,
+        var saved: Boolean = false
+    ) {
+        var turn = 0
+        val onMachine: Boolean get() = state == TaskState.RUNNING || state == TaskState.SAVING
+    }
+
+    val endpoint = "10.1.0.1:" + (9000 + id.value.substringAfterLast('-').toInt())
+    val tasks = LinkedHashMap<Attempt, Running>()
+    private val results = HashSet<String>()
+    private val images = HashSet<String>()
+    private var session = 1L
+    private var sequence = 0L
+    private var token = Token(0)
+    private var leaseFrom = world.nowMs
+    private var node = 0
+    private var inFlight = false
+    private var lastReportAt = 0L
+    var alive = true
+    var hungUntil = 0L
+
+    /** Its reports arrive, but answers and commands don't reach it. */
+    var deafUntil = 0L
+    var noticeS: Double? = null
+    val isHung: Boolean get() = world.nowMs < hungUntil
+
+    /** Copies of old reports, for faults that deliver them again. */
+    val sent = ArrayDeque<WorkerReport>()
+
+    fun boot() {
+        leaseFrom = world.nowMs
+        tick()
+    }
+
+    private fun tick() {
+        if (!alive) return
+        if (!isHung) {
+            if (world.nowMs > leaseFrom + leaseMs) expire()
+            if (!inFlight && world.nowMs >= lastReportAt + reportMs) report()
+        }
+        world.after(world.between(40, 90)) { tick() }
+    }
+
+    private fun expire() {
+        tasks.clear()
+        session++
+        leaseFrom = world.nowMs
+    }
+
+    private fun report() {
+        inFlight = true
+        lastReportAt = world.nowMs
+        val sentAt = world.nowMs
+        val message = account()
+        sent.addLast(message)
+        if (sent.size > 20) sent.removeFirst()
+        val target = nodes()[node % nodes().size]
+        var answered = false
+        world.after(world.between(1, 20)) {
+            target.receive(message) { answer ->
+                world.after(world.between(1, 20)) {
+                    if (!answered && world.nowMs < sentAt + ANSWER_MS) {
+                        answered = true
+                        whenAwake { take(answer, message, sentAt) }
+                    }
+                }
+            }
+        }
+        world.after(ANSWER_MS) {
+            if (!answered) {
+                answered = true
+                node++
+                inFlight = false
+            }
+        }
+    }
+
+    private fun whenAwake(action: () -> Unit) {
+        if (!alive) return
+        if (isHung) world.after(hungUntil - world.nowMs + 1) { whenAwake(action) } else action()
+    }
+
+    private fun take(answer: ReportAnswer?, message: WorkerReport, sentAt: Long) {
+        inFlight = false
+        if (world.nowMs < deafUntil) {
+            node++
+            return
+        }
+        when (answer) {
+            is ReportAnswer.Taken -> {
+                if (world.nowMs > leaseFrom + leaseMs) expire()
+                if (answer.token < token || message.session != session || world.nowMs > sentAt + ANSWER_MS) return
+                token = answer.token
+                leaseFrom = sentAt
+                answer.commands.forEach(::execute)
+            }
+            is ReportAnswer.Redirect -> {
+                val index = nodes().indexOfFirst { it.label == answer.label }
+                if (index >= 0 && index != node % nodes().size) node = index else node++
+            }
+            ReportAnswer.Unavailable, null -> node++
+        }
+    }
+
+    fun account(): WorkerReport = WorkerReport(
+        machine = id, endpoint = endpoint, type = type.name, zone = zone, spot = spot, session = session,
+        sequence = ++sequence, token = token, noticeS = noticeS,
+        tasks = tasks.values.map { ReportedTask(it.attempt, it.state, it.cause, it.saved) },
+    )
+
+    /** A direct command, which a hanging machine executes when it goes on. Null: nobody answers. */
+    fun direct(given: Token, inSession: Long, commands: List<WorkerCommand>, answer: (WorkerReport, Boolean) -> Unit) {
+        whenAwake {
+            if (world.nowMs >= deafUntil) {
+                if (world.nowMs > leaseFrom + leaseMs) expire()
+                val valid = given >= token && inSession == session
+                if (valid) {
+                    token = given
+                    commands.forEach(::execute)
+                }
+                answer(account(), valid)
+            }
+        }
+    }
+
+    private fun execute(command: WorkerCommand) {
+        when (command) {
+            is WorkerCommand.Start -> start(command.attempt)
+            is WorkerCommand.Stop -> stop(command.attempt, command.graceS)
+            is WorkerCommand.Forget -> if (tasks[command.attempt]?.state == TaskState.EXITED) tasks.remove(command.attempt)
+        }
+    }
+
+    private fun start(attempt: Attempt) {
+        if (attempt in tasks) return
+        val spec = book.spec(attempt.task.job.value)
+        val running = Running(attempt, TaskState.FETCHING)
+        tasks[attempt] = running
+        val others = tasks.values.filter { it !== running && it.state != TaskState.EXITED }
+        when {
+            spec == null -> exit(running, ExitCause.UNKNOWN)
+            others.any { it.attempt.task == attempt.task } -> exit(running, ExitCause.BUSY)
+            !fits(spec, others) -> exit(running, ExitCause.FULL)
+            else -> {
+                val fetchMs = if (spec.image.value in images) 0L else (spec.imageGb / type.fetchGbPerS * 1000).toLong()
+                world.after(fetchMs) { whenAwake { run(running, spec) } }
+            }
+        }
+    }
+
+    private fun fits(spec: JobSpec, others: List<Running>): Boolean {
+        val specs = others.mapNotNull { book.spec(it.attempt.task.job.value) }
+        return specs.sumOf { it.cores } + spec.cores <= type.cores + 1e-6 &&
+            specs.sumOf { it.gpus } + spec.gpus <= type.gpus + 1e-6 &&
+            specs.sumOf { it.memoryGb } + spec.memoryGb <= type.memoryGb + 1e-6
+    }
+
+    private fun run(running: Running, spec: JobSpec) {
+        if (tasks[running.attempt] !== running || running.state != TaskState.FETCHING) return
+        images.add(spec.image.value)
+        running.state = TaskState.RUNNING
+        book.onStarted(this, running.attempt)
+        if (spec.kind != JobKind.ARRAY) return
+        val left = if (running.attempt.task.toString() in results) 0L else book.runMs(spec.id.value)
+        world.after(left) {
+            whenAwake {
+                if (tasks[running.attempt] === running && running.state == TaskState.RUNNING) {
+                    results.add(running.attempt.task.toString())
+                    exit(running, ExitCause.DONE)
+                }
+            }
+        }
+    }
+
+    private fun stop(attempt: Attempt, graceS: Double) {
+        val running = tasks[attempt] ?: return
+        if (running.state == TaskState.EXITED) return
+        val spec = book.spec(attempt.task.job.value)
+        if (running.state == TaskState.RUNNING && spec != null && spec.savesWork && graceS >= spec.saveS) {
+            running.state = TaskState.SAVING
+            world.after((spec.saveS * 1000).toLong()) {
+                whenAwake { if (running.state == TaskState.SAVING) exit(running, ExitCause.STOPPED) }
+            }
+        } else if (running.state != TaskState.SAVING || graceS == 0.0) {
+            exit(running, ExitCause.STOPPED)
+        }
+    }
+
+    private fun exit(running: Running, cause: ExitCause) {
+        running.state = TaskState.EXITED
+        running.cause = cause
+    }
+
+    /** What the rules see: a hanging machine's tasks are there until its lease is over. */
+    fun onMachine(): List<Running> {
+        if (!alive || world.nowMs > leaseFrom + leaseMs) return emptyList()
+        return tasks.values.filter { it.onMachine }
+    }
+
+    private companion object {
+        const val ANSWER_MS = 4000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -0,0 +1,199 @@
+package oxbowlug.sim
+
+import oxbowlug.config.Address
+import oxbowlug.config.CloudSettings
+import oxbowlug.config.LimitSettings
+import oxbowlug.config.Peer
+import oxbowlug.config.Policy
+import oxbowlug.config.Settings
+import oxbowlug.config.StateSettings
+import oxbowlug.config.Team
+import oxbowlug.config.WorkerSettings
+import oxbowlug.core.Command
+import oxbowlug.core.UserAnswer
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.ClassName
+import oxbowlug.wire.ImageName
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.JobSpec
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.Priority
+import oxbowlug.wire.TeamName
+import oxbowlug.wire.TypeName
+import oxbowlug.wire.Zone
+
+/** Three controllers, a cloud, workers, a state service and users, on virtual time with one seed. */
+class Simulation(seed: Long, private val policy: Policy = Policy()) : JobBook {
+    val world = World(seed)
+    val weather = Weather()
+    private val zones = listOf(Zone("a"), Zone("b"))
+    private val types = listOf(
+        MachineType(TypeName("g8"), 64.0, 8.0, 256.0, 200.0, 2.0, 20.0, 8.0, 8.0, zones),
+        MachineType(TypeName("c32"), 32.0, 0.0, 128.0, 35.0, 0.5, 1.2, 0.5, 5.0, zones),
+    )
+    val store = SimStore(world)
+    val cloud = SimCloud(world, types, CAPACITY, LIST_LAG_MS, ::makeWorker)
+    val rules = Rules(world, mapOf("red" to 24.0, "blue" to 16.0), CANCEL_MS)
+    val nodes: List<SimNode> = List(3) { index ->
+        SimNode(world, settings(index), store, cloud, weather, ::byEndpoint, ::peers)
+    }
+    private val runMs = HashMap<String, Long>()
+    private var submitted = 0
+
+    init {
+        for (index in 0..3) cloud.add(MachineId("host-9%05d".format(index)), types[0], zones[index % 2], false, 1000L)
+        world.afterStep = { rules.check(cloud.workers) }
+        for (node in nodes) world.after(world.between(0, 300)) { node.start() }
+    }
+
+    private fun peers() = nodes
+
+    private fun byEndpoint(address: Address) = cloud.workers.firstOrNull { it.endpoint == address.toString() }
+
+    private fun makeWorker(id: MachineId, type: MachineType, zone: Zone, spot: Boolean) =
+        SimWorker(world, this, { nodes }, id, type, zone, spot, LEASE_MS, REPORT_MS)
+
+    override fun spec(job: String): JobSpec? = rules.jobs[job]?.spec
+
+    override fun runMs(job: String): Long = runMs.getValue(job)
+
+    override fun onStarted(machine: SimWorker, attempt: Attempt) = rules.started(machine, attempt, cloud.workers)
+
+    private fun settings(index: Int) = Settings(
+        label = "n$index",
+        zone = zones[index % 2],
+        clientListen = Address("127.0.0.1", 8080),
+        peerListen = Address("127.0.0.1", 8081),
+        peers = (0..2).filter { it != index }.map { Peer("n$it", zones[it % 2], Address("127.0.0.1", 8081)) },
+        cloudAddress = Address("127.0.0.1", 8443),
+        stateAddress = Address("127.0.0.1", 2379),
+        zones = zones,
+        skewMs = 100.0,
+        teams = listOf(
+            Team(TeamName("red"), 0.0, Double.POSITIVE_INFINITY, 8.0, 24.0),
+            Team(TeamName("blue"), 0.0, Double.POSITIVE_INFINITY, 8.0, 16.0),
+        ).associateBy { it.name },
+        objectives = emptyList(),
+        workers = WorkerSettings(REPORT_MS / 1000.0, LEASE_MS / 1000.0, CANCEL_MS / 1000.0),
+        state = StateSettings(250.0, 40.0, 16.0, 12),
+        cloud = CloudSettings(4.0, LIST_LAG_MS / 1000.0),
+        limits = LimitSettings(150.0, 600),
+        policy = policy,
+    )
+
+    /** Users: one who submits every now and then, polls what is open, and cancels services after a while. */
+    fun users(everyMs: Long, untilMs: Long) {
+        world.after(world.between(everyMs / 2, everyMs * 3 / 2)) {
+            if (world.nowMs < untilMs) {
+                submit(randomSpec("run-%06d".format(submitted++)))
+                users(everyMs, untilMs)
+            }
+        }
+    }
+
+    fun submit(spec: JobSpec) {
+        val id = spec.id.value
+        rules.jobs[id] = Rules.Known(spec)
+        runMs[id] = world.between(2_000, 15_000)
+        trySubmit(spec)
+        if (spec.kind == JobKind.SERVICE) world.after(world.between(15_000, 60_000)) { cancel(id) }
+    }
+
+    private fun trySubmit(spec: JobSpec) {
+        val id = spec.id.value
+        ask({ answer -> Command.Submit(spec, answer) }) { answer ->
+            if (answer != null) rules.told(id, answer)
+            when (answer) {
+                is UserAnswer.Accepted, is UserAnswer.Known -> poll(id)
+                else -> world.after(1000) { trySubmit(spec) }
+            }
+        }
+    }
+
+    private fun poll(id: String) {
+        world.after(world.between(1500, 2500)) {
+            ask({ answer -> Command.Poll(JobId(id), answer) }) { answer ->
+                if (answer != null) rules.told(id, answer)
+                val told = rules.jobs.getValue(id).told
+                val isFinal = told == oxbowlug.wire.ShownState.DONE || told == oxbowlug.wire.ShownState.CANCELLED
+                // Now and then a user asks again long after the end.
+                if (!isFinal)
+                    poll(id)
+                else if (world.chance(0.5))
+                    world.after(20_000) { poll(id) }
+            }
+        }
+    }
+
+    fun cancel(id: String) {
+        val job = rules.jobs.getValue(id)
+        job.askedToCancel = true
+        ask({ answer -> Command.Cancel(JobId(id), answer) }) { answer ->
+            if (answer != null) rules.told(id, answer)
+            if (answer !is UserAnswer.Known && job.accepted) world.after(1000) { cancel(id) }
+        }
+    }
+
+    fun pollUnknown(id: String, told: (UserAnswer?) -> Unit) = ask({ Command.Poll(JobId(id), it) }, told)
+
+    /** One request through the load balancer: null when nobody answered in time. */
+    private fun ask(command: ((UserAnswer) -> Unit) -> Command, told: (UserAnswer?) -> Unit) {
+        val up = nodes.filter { it.isUp && !it.cut }
+        var answered = false
+        val reply: (UserAnswer?) -> Unit = { answer ->
+            if (!answered) {
+                answered = true
+                told(answer)
+            }
+        }
+        if (up.isNotEmpty()) up[world.random.nextInt(up.size)].ask(command { reply(it) })
+        world.after(5000) { reply(null) }
+    }
+
+    fun randomSpec(id: String): JobSpec {
+        val isService = world.chance(0.5)
+        val needsGpu = world.chance(0.7)
+        return JobSpec(
+            id = JobId(id),
+            className = ClassName(if (isService) "serving" else "nightly"),
+            team = TeamName(if (world.chance(0.5)) "red" else "blue"),
+            kind = if (isService) JobKind.SERVICE else JobKind.ARRAY,
+            priority = if (isService) Priority.entries[world.random.nextInt(2)] else Priority.NORMAL,
+            tasks = if (isService) 1 + world.random.nextInt(4) else 1 + world.random.nextInt(8),
+            cores = 4.0,
+            gpus = if (needsGpu) 1.0 + world.random.nextInt(2) else 0.0,
+            memoryGb = 16.0,
+            image = ImageName("img-${world.random.nextInt(4)}"),
+            imageGb = 2.0,
+            types = if (world.chance(0.3)) listOf(TypeName("g8")) else null,
+            zone = if (world.chance(0.1)) zones[world.random.nextInt(2)] else null,
+            oneZone = false,
+            spread = false,
+            spot = !isService,
+            estimateS = if (isService) 0.0 else 8.0,
+            checkpointS = if (isService) 0.0 else 3.0,
+            saveS = if (isService) 0.0 else 1.0,
+            deadlineS = if (isService) null else 60.0,
+        ).let { spec ->
+            when (world.random.nextInt(4)) {
+                0 -> spec.copy(spread = true, zone = null)
+                1 -> spec.copy(oneZone = true)
+                else -> spec
+            }
+        }
+    }
+
+    fun randomWorker(): SimWorker? = cloud.workers.takeIf { it.isNotEmpty() }?.let { it[world.random.nextInt(it.size)] }
+
+    fun run(untilMs: Long) = world.runUntil(untilMs)
+
+    companion object {
+        const val REPORT_MS = 1000L
+        const val LEASE_MS = 10_000L
+        const val CANCEL_MS = 30_000L
+        private const val LIST_LAG_MS = 3_000L
+        private const val CAPACITY = 12
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/SimulationTest.kt
@@ -0,0 +1,136 @@
+package oxbowlug.sim
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import oxbowlug.core.UserAnswer
+
+/** Days on virtual time: after every step the protocol's rules hold, and once all is well again all work is served. */
+class SimulationTest {
+    class Trouble(val name: String, val cause: (Simulation) -> Unit) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("troubles")
+    fun `no trouble breaks a rule, and afterwards everything runs`(trouble: Trouble) {
+        for (seed in 1L..seeds) {
+            val day = Simulation(seed)
+            day.users(everyMs = 2500, untilMs = 90_000)
+            trouble.cause(day)
+            var unknown: UserAnswer? = null
+            day.world.after(200_000) { day.pollUnknown("run-999999") { unknown = it } }
+            day.run(260_000)
+            assertEquals(emptyList<String>(), day.rules.broken.take(5), "$trouble, seed $seed")
+            assertTrue(day.rules.starts > 20, "$trouble, seed $seed: only ${day.rules.starts} starts")
+            assertEquals(emptyList<String>(), day.rules.unfinished(), "$trouble, seed $seed: not served")
+            assertEquals(UserAnswer.NotFound, unknown, "$trouble, seed $seed: a job nobody submitted")
+        }
+    }
+
+    companion object {
+        /** CI plays a few seeds; `-Dsim.seeds=200` looks further. */
+        private val seeds = System.getProperty("sim.seeds")?.toLong() ?: 3L
+
+        private fun Simulation.at(ms: Long, action: Simulation.() -> Unit) = world.after(ms) { action() }
+
+        private fun Simulation.crash(index: Int, atMs: Long, forMs: Long) {
+            at(atMs) { nodes[index].crash() }
+            at(atMs + forMs) { nodes[index].start() }
+        }
+
+        private fun Simulation.leaderIndex(): Int {
+            val label = store.entry("ox/view")?.value?.get("leader")
+            return nodes.indexOfFirst { it.label == label }.coerceAtLeast(0)
+        }
+
+        private fun Simulation.crashLeader(atMs: Long, forMs: Long) = at(atMs) {
+            val node = nodes[leaderIndex()]
+            if (node.isUp) {
+                node.crash()
+                world.after(forMs) { node.start() }
+            }
+        }
+
+        private fun Simulation.stormy(lost: Double, late: Double) {
+            weather.lost = lost
+            weather.late = late
+            at(110_000) {
+                weather.lost = 0.0
+                weather.late = 0.0
+            }
+        }
+
+        private fun Simulation.hang(atMs: Long, forMs: Long) = at(atMs) { randomWorker()?.hungUntil = atMs + forMs }
+
+        @JvmStatic
+        fun troubles(): List<Trouble> = listOf(
+            Trouble("a quiet day") {},
+            Trouble("messages are lost and executed late") { it.stormy(lost = 0.05, late = 0.05) },
+            Trouble("the leader crashes") { it.crashLeader(30_000, 5_000) },
+            Trouble("the leader is back within a fraction of a second, twice") {
+                it.crashLeader(30_000, 200)
+                it.crashLeader(31_000, 150)
+            },
+            Trouble("all controllers crash") { day -> for (index in 0..2) day.crash(index, 40_000, 5_000) },
+            Trouble("a rolling restart") { day ->
+                for (index in 0..2) day.crash(index, 30_000L + index * 10_000, 5_000)
+            },
+            Trouble("the state service is away for longer than a worker's lease, and all crash meanwhile") { day ->
+                day.at(30_000) { store.down = true }
+                for (index in 0..2) day.crash(index, 40_000, 5_000)
+                day.at(55_000) { store.down = false }
+            },
+            Trouble("the leader loses the state service alone") { day ->
+                day.at(30_000) {
+                    val node = nodes[leaderIndex()]
+                    node.withoutState = true
+                    world.after(25_000) { node.withoutState = false }
+                }
+            },
+            Trouble("the leader is cut off") { day ->
+                day.at(30_000) {
+                    val node = nodes[leaderIndex()]
+                    node.cut = true
+                    world.after(25_000) { node.cut = false }
+                }
+            },
+            Trouble("machines hang, within their lease and beyond it") { day ->
+                day.hang(25_000, 6_000)
+                day.hang(35_000, 14_000)
+                day.hang(45_000, 40_000)
+            },
+            Trouble("machines die and are taken") { day ->
+                day.at(30_000) { randomWorker()?.let { cloud.fail(it.id) } }
+                day.at(45_000) { randomWorker()?.let { cloud.take(it.id) } }
+            },
+            Trouble("a machine hears nothing") { day -> day.at(30_000) { randomWorker()?.deafUntil = 60_000 } },
+            Trouble("copies of reports come late") { day ->
+                repeat(60) { index ->
+                    day.at(20_000L + index * 1500) {
+                        val worker = randomWorker()
+                        val copy = worker?.sent?.firstOrNull()
+                        if (copy != null) nodes[world.random.nextInt(3)].receive(copy) {}
+                    }
+                }
+            },
+            Trouble("the cloud is away, and a machine dies meanwhile") { day ->
+                day.at(30_000) {
+                    cloud.down = true
+                    randomWorker()?.let { cloud.fail(it.id) }
+                }
+                day.at(60_000) { cloud.down = false }
+            },
+            Trouble("everything at once") { day ->
+                day.stormy(lost = 0.03, late = 0.03)
+                day.crashLeader(25_000, 5_000)
+                day.hang(28_000, 20_000)
+                day.at(45_000) { store.down = true }
+                day.at(60_000) { store.down = false }
+                day.crashLeader(62_000, 300)
+                day.at(70_000) { randomWorker()?.let { cloud.take(it.id) } }
+            },
+        )
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/World.kt
@@ -0,0 +1,56 @@
+package oxbowlug.sim
+
+import oxbowlug.core.Clock
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** Virtual time: events run in the order of their moments, and everything random comes from one seed. */
+class World(seed: Long) {
+    private class Event(val atMs: Long, val order: Long, val action: () -> Unit)
+
+    private val events = PriorityQueue<Event>(compareBy<Event> { it.atMs }.thenBy { it.order })
+    private var order = 0L
+    val random = Random(seed)
+    var nowMs = 0L
+        private set
+
+    /** Called after every event. */
+    var afterStep: () -> Unit = {}
+
+    fun after(delayMs: Long, action: () -> Unit) {
+        events.add(Event(nowMs + delayMs.coerceAtLeast(0), order++, action))
+    }
+
+    fun every(periodMs: Long, action: () -> Unit) {
+        after(periodMs) {
+            action()
+            every(periodMs, action)
+        }
+    }
+
+    fun chance(share: Double): Boolean = random.nextDouble() < share
+
+    fun between(from: Long, to: Long): Long = random.nextLong(from, to + 1)
+
+    fun runUntil(endMs: Long) {
+        while (true) {
+            val next = events.peek() ?: return
+            if (next.atMs > endMs) return
+            events.poll()
+            nowMs = next.atMs
+            next.action()
+            afterStep()
+        }
+    }
+}
+
+/** A node's clocks: its steady one drifts, its time of day is off by a constant. */
+class DriftingClock(private val world: World, private val drift: Double, private val offMs: Long) : Clock {
+    override fun steadyMs(): Long = (world.nowMs * (1.0 + drift)).toLong()
+
+    override fun wallMs(): Long = BASE_MS + world.nowMs + offMs
+
+    private companion object {
+        const val BASE_MS = 1_700_000_000_000L
+    }
+}
