Fill a booting machine before renting another; one-zone jobs keep to their only zone

PlannerTest: 17 tasks rented 10 machines, since a rental that this job fills seemed cheaper than the free half of one already coming.

--- a/src/main/kotlin/oxbowlug/core/Rentals.kt
+++ b/src/main/kotlin/oxbowlug/core/Rentals.kt
@@ -85,7 +85,7 @@
                     ordered.remove(order)
                     refused(kind, now)
                 }
-                // The same name is asked for again: if the first request was executed after all, nothing more is rented.
+                // The same name again: if the first request was executed after all, nothing more is rented.
                 RentalOutcome.Refused, RentalOutcome.Unanswered -> {
                     order.askAgainAt = now + timing.retryMs() * 2
                     if (now > order.orderedAt + timing.orderPatienceMs) ordered.remove(order)
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -17,7 +17,6 @@
     private val stops = ArrayList<Attempt>()
     private val rentals = LinkedHashMap<Kind, Int>()
     private val reserved = LinkedHashSet<MachineId>()
-    private val typesByName = snapshot.types.associateBy { it.name }
     private var unplaced = 0
 
     fun plan(): Plan {
@@ -58,7 +57,7 @@
     private fun placeTasks(job: PlanJob, team: PlanTeam) {
         val need = job.spec.amounts()
         val zones = ZoneRule(job)
-        if (job.spec.oneZone && zones.fixed == null) zones.fixed = roomiestZone(job, need)
+        if (job.spec.oneZone && zones.fixed == null) zones.fixed = job.spec.zone ?: roomiestZone(job, need)
         for ((index, task) in job.pending.withIndex()) {
             // A team at its limit waits for its own work to end; nobody else's is stopped for it.
             if (!team.hasRoomFor(need)) break
@@ -169,7 +168,10 @@
     private fun bootingOrRented(job: PlanJob, need: Amounts, zones: ZoneRule, left: Int): PlanMachine? {
         val booting = cheapest(job, need, zones, 0.0) { !it.isReady && need.fitsIn(it.free) }
         val rental = if (snapshot.mayRent) cheapestRental(job, need, zones, left) else null
-        if (rental == null || (booting != null && booting.cost <= rental.cost)) return booting?.machine
+        if (rental == null) return booting?.machine
+        // A machine that is coming anyway is filled first, unless another kind is worth one more boot.
+        val boot = rental.type.price(rental.kind.spot) / Pricing.HOUR_S * rental.type.bootS
+        if (booting != null && booting.cost <= rental.cost + boot) return booting.machine
         rentals.merge(rental.kind, 1, Int::plus)
         val kind = rental.kind
         val machine = PlanMachine.ordered(rental.type, kind.zone, kind.spot, rental.type.bootS.coerceAtLeast(1.0))
@@ -245,8 +247,8 @@
             }
             room.merge(machine.zone, count, Int::plus)
         }
+        // With no room anywhere the first rental decides, so that a zone that refuses doesn't hold the job for ever.
         return room.entries.maxWithOrNull(compareBy({ it.value }, { it.key.value }))?.takeIf { it.value > 0 }?.key
-            ?: typesByName.values.firstOrNull { Constraints.allow(job, it) }?.zones?.firstOrNull()
     }
 
     private companion object {
@@ -309,7 +311,7 @@
 }
 
 object Pricing {
-    private const val HOUR_S = 3600.0
+    const val HOUR_S = 3600.0
 
     /** The job's part of the machine for its run time, plus the weighted tardiness of its start there. */
     fun cost(
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
@@ -0,0 +1,201 @@
+package oxbowlug.plan
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.ClassName
+import oxbowlug.wire.ImageName
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.JobSpec
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.Priority
+import oxbowlug.wire.TaskId
+import oxbowlug.wire.TeamName
+import oxbowlug.wire.TypeName
+import oxbowlug.wire.Zone
+
+class PlannerTest {
+    private val a = Zone("a")
+    private val b = Zone("b")
+    private val g8 = MachineType(TypeName("g8"), 64.0, 8.0, 256.0, 200.0, 2.0, 20.0, 8.0, 30.0, listOf(a, b))
+    private val c32 = MachineType(TypeName("c32"), 32.0, 0.0, 128.0, 35.0, 0.5, 1.2, 0.5, 30.0, listOf(a, b))
+
+    private fun spec(
+        id: String = "run-1",
+        kind: JobKind = JobKind.SERVICE,
+        priority: Priority = Priority.PRODUCTION,
+        tasks: Int = 1,
+        gpus: Double = 1.0,
+        cores: Double = 5.0,
+        team: String = "red",
+    ) = JobSpec(
+        JobId(id), ClassName("x"), TeamName(team), kind, priority, tasks, cores, gpus, 16.0, ImageName("img"), 4.0,
+        null, null, oneZone = false, spread = false, spot = false, estimateS = 0.0, checkpointS = 0.0, saveS = 0.0,
+        deadlineS = null,
+    )
+
+    private fun job(spec: JobSpec, deadlineInS: Double? = null) = PlanJob(
+        spec.id, spec, IntArray(spec.tasks) { it }, emptyMap(), 1.0, spec.estimateS, deadlineInS, 1.0, emptySet(),
+    )
+
+    private fun machine(
+        name: String,
+        zone: Zone = a,
+        type: MachineType = g8,
+        spot: Boolean = false,
+        images: Set<ImageName> = emptySet(),
+        tenants: List<Tenant> = emptyList(),
+    ): PlanMachine {
+        val used = tenants.fold(Amounts.NONE) { sum, tenant -> sum + tenant.need }
+        return PlanMachine(
+            MachineId(name), type, zone, spot, type.amounts() - used, 0.0, images, emptySet(), tenants,
+        )
+    }
+
+    private fun tenant(spec: JobSpec, ranS: Double = 100.0) =
+        Tenant(Attempt(TaskId(spec.id, 0), 1), spec, mapOf(a to 1), ranS, 2.0, 1.0, stopping = false)
+
+    private fun teams(red: PlanTeam = PlanTeam(1e9, 1e9, 0.0, 0.0), blue: PlanTeam = PlanTeam(1e9, 1e9, 0.0, 0.0)) =
+        mapOf(TeamName("red") to red, TeamName("blue") to blue)
+
+    private fun snapshot(
+        jobs: List<PlanJob>,
+        machines: List<PlanMachine>,
+        teams: Map<TeamName, PlanTeam> = teams(),
+        refusals: Map<Kind, Refusal> = emptyMap(),
+        mayMove: Boolean = false,
+    ) = Snapshot(
+        jobs, machines, teams, listOf(g8, c32), refusals, 30.0, 100.0, 1.0, mayRent = true,
+        besideGpu = Amounts(5.5, 0.0, 18.0), mayMove = mayMove,
+    )
+
+    private fun plan(snapshot: Snapshot) = Planner(snapshot).plan()
+
+    @Test
+    fun `the machine that has the image is taken`() {
+        val holder = machine("m2", images = setOf(ImageName("img")))
+        val plan = plan(snapshot(listOf(job(spec())), listOf(machine("m1"), holder)))
+        assertEquals(listOf(Start(JobId("run-1"), 0, MachineId("m2"))), plan.starts)
+    }
+
+    @Test
+    fun `a task without GPUs rents the machine without GPUs`() {
+        val plan = plan(snapshot(listOf(job(spec(gpus = 0.0, cores = 2.0))), emptyList()))
+        assertEquals(setOf(c32.name), plan.rentals.keys.map { it.type }.toSet())
+    }
+
+    @Test
+    fun `only what the plan fills is rented, and a kind that refuses is not asked`() {
+        val jobs = listOf(job(spec(tasks = 17)))
+        val blocked = mapOf(Kind(g8.name, a, false) to Refusal(blocked = true, penalty = 1.0))
+        val plan = plan(snapshot(jobs, emptyList(), refusals = blocked))
+        assertEquals(mapOf(Kind(g8.name, b, false) to 3), plan.rentals)
+        assertEquals(0, plan.unplaced)
+    }
+
+    @Test
+    fun `a spread job puts at most half of its tasks, rounded up, into one zone`() {
+        val spread = spec(tasks = 5).copy(spread = true)
+        val plan = plan(snapshot(listOf(job(spread)), listOf(machine("m1", a), machine("m2", b))))
+        val perMachine = plan.starts.groupingBy { it.machine.value }.eachCount()
+        assertEquals(setOf(2, 3), perMachine.values.toSet())
+    }
+
+    @Test
+    fun `a one-zone job follows its zone, also when another has more room`() {
+        // Found by the simulation: the roomiest zone was fixed although the job allowed only the other one.
+        val fixed = spec(tasks = 2).copy(oneZone = true, zone = b)
+        val plan = plan(snapshot(listOf(job(fixed)), listOf(machine("m1", a), machine("m2", a), machine("m3", b))))
+        assertEquals(listOf("m3", "m3"), plan.starts.map { it.machine.value })
+        val rented = plan(snapshot(listOf(job(fixed)), listOf(machine("m1", a))))
+        assertEquals(setOf(b), rented.rentals.keys.map { it.zone }.toSet())
+    }
+
+    @Test
+    fun `a team's limit counts what is and may be there`() {
+        val red = PlanTeam(1e9, 4.0, 0.0, 0.0).apply { add(Amounts(0.0, 3.0, 0.0)) }
+        val plan = plan(snapshot(listOf(job(spec(tasks = 3))), listOf(machine("m1")), teams(red = red)))
+        assertEquals(1, plan.starts.size)
+        assertTrue(plan.rentals.isEmpty())
+    }
+
+    @Test
+    fun `a gang starts as a whole or not at all`() {
+        val gang = spec(kind = JobKind.GANG, tasks = 9)
+        val partly = plan(snapshot(listOf(job(gang)), listOf(machine("m1"))))
+        assertEquals(emptyList<Start>(), partly.starts)
+        val wholly = plan(snapshot(listOf(job(gang)), listOf(machine("m1"), machine("m2"))))
+        assertEquals(9, wholly.starts.size)
+    }
+
+    @Test
+    fun `ranking goes by priority, then by what postponing costs`() {
+        val late = job(spec("run-1", JobKind.ARRAY, Priority.NORMAL).copy(estimateS = 50.0), deadlineInS = 60.0)
+        val early = job(spec("run-2", JobKind.ARRAY, Priority.NORMAL).copy(estimateS = 50.0), deadlineInS = 600.0)
+        val urgent = job(spec("run-3", priority = Priority.HIGH))
+        val order = Ranking.order(listOf(early, late, urgent), 30.0, 100.0).map { it.id.value }
+        assertEquals(listOf("run-3", "run-1", "run-2"), order)
+        assertEquals(100.0 * (30.0 + 50.0 - 60.0), Ranking.postponement(late, 30.0, 100.0), 1e-9)
+        assertEquals(0.0, Ranking.postponement(early, 30.0, 100.0), 1e-9)
+    }
+
+    @Test
+    fun `preemption keeps to the protocol's cases`() {
+        val borrowing = PlanTeam(1e9, 1e9, 0.0, 8.0).apply { add(Amounts(0.0, 16.0, 0.0)) }
+        val within = PlanTeam(1e9, 1e9, 0.0, 32.0).apply { add(Amounts(0.0, 8.0, 0.0)) }
+        val none = PlanTeam(1e9, 1e9, 0.0, 0.0)
+
+        class Case(
+            val name: String,
+            val job: Priority,
+            val victim: Priority,
+            val red: PlanTeam,
+            val blue: PlanTeam,
+            val may: Boolean,
+        )
+        val cases = listOf(
+            Case("higher over lower", Priority.HIGH, Priority.NORMAL, none, none, true),
+            Case("never over the same", Priority.HIGH, Priority.HIGH, none, none, false),
+            Case("never over a higher one", Priority.NORMAL, Priority.HIGH, none, none, false),
+            Case("guaranteed over any borrowed", Priority.NORMAL, Priority.PRODUCTION, within, borrowing, true),
+            Case("guaranteed not over guaranteed of the same", Priority.NORMAL, Priority.NORMAL, within, within, false),
+            Case("borrowed not over lower guaranteed", Priority.HIGH, Priority.NORMAL, borrowing, within, false),
+            Case("guaranteed over guaranteed of lower priority", Priority.HIGH, Priority.NORMAL, within, within, true),
+        )
+        for (case in cases) {
+            val job = job(spec(priority = case.job))
+            val victim = tenant(spec("run-9", priority = case.victim, team = "blue"))
+            val teams = teams(case.red, case.blue)
+            val guaranteed = case.red.guarantees(job.spec.amounts())
+            assertEquals(case.may, Preemption.mayStop(job, guaranteed, victim, teams), case.name)
+        }
+    }
+
+    @Test
+    fun `room that comes free is not made a second time`() {
+        val stopping = tenant(spec("run-9", JobKind.ARRAY, Priority.NORMAL, gpus = 8.0))
+        val host = machine("m1", tenants = listOf(stopping))
+        val first = plan(snapshot(listOf(job(spec())), listOf(host)))
+        assertEquals(listOf(stopping.attempt), first.stops)
+        val leaving = Tenant(stopping.attempt, stopping.spec, mapOf(a to 1), 100.0, 2.0, 1.0, stopping = true)
+        val other = tenant(spec("run-8", JobKind.ARRAY, Priority.NORMAL, gpus = 0.0))
+        val second = plan(snapshot(listOf(job(spec())), listOf(machine("m1", tenants = listOf(leaving, other)))))
+        assertEquals(emptyList<Attempt>(), second.stops)
+        assertEquals(setOf(MachineId("m1")), second.reserved)
+    }
+
+    @Test
+    fun `a nearly empty machine is emptied when its replicas fit elsewhere`() {
+        val image = setOf(ImageName("img"))
+        val crumbs = machine("m1", tenants = listOf(tenant(spec("run-8"))), images = image)
+        val other = machine("m2", tenants = listOf(tenant(spec("run-9", gpus = 6.0))), images = image)
+        val plan = plan(snapshot(emptyList(), listOf(crumbs, other), mayMove = true))
+        assertEquals(MachineId("m1"), plan.move?.machine)
+        val young = machine("m1", tenants = listOf(tenant(spec("run-8"), ranS = 5.0)), images = image)
+        val old = machine("m2", tenants = listOf(tenant(spec("run-9"), ranS = 5.0)), images = image)
+        assertEquals(null, plan(snapshot(emptyList(), listOf(young, old), mayMove = true)).move)
+    }
+}
--- a/src/test/kotlin/oxbowlug/sim/Rules.kt
+++ b/src/test/kotlin/oxbowlug/sim/Rules.kt
@@ -35,7 +35,8 @@
         var inZone = 1
         for (other in workers) {
             for (running in other.onMachine()) {
-                if (running.attempt.task.job != attempt.task.job || running.attempt == attempt && other === machine) continue
+                if (running.attempt.task.job != attempt.task.job) continue
+                if (running.attempt == attempt && other === machine) continue
                 if (running.attempt.task == attempt.task && other !== machine) {
                     fail("ran_twice", "$attempt on ${machine.id} while on ${other.id}")
                 }
@@ -46,7 +47,8 @@
         if (inZone > spec.zoneCap) fail("wrong_place", "$attempt is number $inZone of $spec in ${machine.zone}")
         if (machine.spot && !spec.spot) fail("wrong_place", "$attempt on a spot machine")
         if (spec.zone != null && spec.zone != machine.zone) fail("wrong_place", "$attempt in ${machine.zone}")
-        if (spec.types != null && machine.type.name !in spec.types) fail("wrong_place", "$attempt on ${machine.type.name}")
+        val types = spec.types
+        if (types != null && machine.type.name !in types) fail("wrong_place", "$attempt on ${machine.type.name}")
         val cancelledAt = job.cancelledAt
         if (cancelledAt != null && world.nowMs > cancelledAt + cancelMs) fail("ran_cancelled", "$attempt starts")
     }
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -76,7 +76,9 @@
     private fun tick(life: Int, running: Core) {
         if (lives != life || core == null) return
         running.offer(Command.Tick)
-        for (peer in peers()) if (peer !== this && !cut && !peer.cut) peer.core?.offer(Command.HeardPeer(running.news()))
+        for (peer in peers()) {
+            if (peer !== this && !cut && !peer.cut) peer.core?.offer(Command.HeardPeer(running.news()))
+        }
         world.after(50) { tick(life, running) }
     }
 
@@ -113,7 +115,8 @@
                     settle(1, away, done)
                 } else {
                     val outcome = execute()
-                    if (world.chance(weather.lost)) settle(TIMEOUT_MS, lost, done) else settle(world.between(1, 5), outcome, done)
+                    val answerLost = world.chance(weather.lost)
+                    settle(if (answerLost) TIMEOUT_MS else world.between(1, 5), if (answerLost) lost else outcome, done)
                 }
             }
         }
@@ -183,7 +186,8 @@
             val worker = endpoints(endpoint)
             if (cut || worker == null || !worker.alive) return settle(TIMEOUT_MS, DirectOutcome.NotSent, done)
             var answered = false
-            val delay = if (world.chance(weather.late)) world.between(TIMEOUT_MS, weather.lateMs) else world.between(1, 15)
+            val isLate = world.chance(weather.late)
+            val delay = if (isLate) world.between(TIMEOUT_MS, weather.lateMs) else world.between(1, 15)
             world.after(delay) {
                 worker.direct(token, session, commands) { report, executed ->
                     if (!answered && !world.chance(weather.lost)) {
--- a/src/test/kotlin/oxbowlug/sim/SimStore.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimStore.kt
@@ -15,7 +15,9 @@
 class SimStore(private val world: World, private val historyLimit: Int = 10_000) {
     private class Lease(val lifeMs: Long, var endsAt: Long)
 
-    private class Watch(val from: Long, val prefix: String, val answer: (ChangesOutcome) -> Unit, var open: Boolean = true)
+    private class Watch(val from: Long, val prefix: String, val answer: (ChangesOutcome) -> Unit) {
+        var open = true
+    }
 
     private val entries = sortedMapOf<String, Entry>()
     private val attached = HashMap<String, Long>()
--- a/src/test/kotlin/oxbowlug/sim/SimWorker.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimWorker.kt
@@ -117,7 +117,10 @@
 
     private fun whenAwake(action: () -> Unit) {
         if (!alive) return
-        if (isHung) world.after(hungUntil - world.nowMs + 1) { whenAwake(action) } else action()
+        if (isHung) return world.after(hungUntil - world.nowMs + 1) { whenAwake(action) }
+        // A machine that goes on after its lease is over ends its tasks before anything else.
+        if (world.nowMs > leaseFrom + leaseMs) expire()
+        action()
     }
 
     private fun take(answer: ReportAnswer?, message: WorkerReport, sentAt: Long) {
@@ -167,7 +170,9 @@
         when (command) {
             is WorkerCommand.Start -> start(command.attempt)
             is WorkerCommand.Stop -> stop(command.attempt, command.graceS)
-            is WorkerCommand.Forget -> if (tasks[command.attempt]?.state == TaskState.EXITED) tasks.remove(command.attempt)
+            is WorkerCommand.Forget -> tasks.values.removeIf {
+                it.attempt == command.attempt && it.state == TaskState.EXITED
+            }
         }
     }
 
