--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -1,7 +1,10 @@
 package oxbowlug.core
 
+import org.slf4j.LoggerFactory
 import oxbowlug.config.Settings
+import oxbowlug.plan.Plan
 import oxbowlug.plan.Planner
+import oxbowlug.plan.Snapshot
 import oxbowlug.wire.MachineId
 import oxbowlug.wire.MachineState
 import oxbowlug.wire.MachineType
@@ -84,8 +87,10 @@
         val began = System.nanoTime()
         val mayMove = now >= nextMoveAt
         if (mayMove) nextMoveAt = now + (settings.policy.replanS * 1000).toLong()
-        val plan = Planner(planning.snapshot(types, mayMove)).plan()
+        val snapshot = planning.snapshot(types, mayMove)
+        val plan = Planner(snapshot).plan()
         meters.planned(System.nanoTime() - began)
+        if (log.isDebugEnabled) log.debug("{}", PlanSummary(plan, snapshot))
         planning.apply(plan)
         reserved = plan.reserved
         unplaced = plan.unplaced
@@ -171,4 +176,25 @@
         }
         return true
     }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("leader")
+    }
+}
+
+/** A plan in one line, for whoever wants to know why work waits. */
+private class PlanSummary(private val plan: Plan, private val snapshot: Snapshot) {
+    override fun toString(): String = buildString {
+        append("plan: ${plan.starts.size} starts, ${plan.stops.size} stops, ${plan.rentals.values.sum()} rentals, ")
+        append("${plan.unplaced} unplaced, ${plan.reserved.size} reserved; free")
+        for ((kind, machines) in snapshot.machines.groupBy { "${it.type.name}${if (it.spot) " spot" else ""}" }) {
+            val gpus = machines.filter { it.isReady }.sumOf { it.free.gpus }
+            val cores = machines.filter { it.isReady }.sumOf { it.free.cores }
+            append(" $kind x${machines.size}: $gpus GPUs, $cores cores;")
+        }
+        append(" waiting:")
+        for (job in snapshot.jobs) {
+            if (!job.isReserve) append(" ${job.spec.className}(${job.pending.size}, ${job.waitedS.toInt()} s)")
+        }
+    }
 }
--- a/src/main/kotlin/oxbowlug/plan/Consolidation.kt
+++ b/src/main/kotlin/oxbowlug/plan/Consolidation.kt
@@ -57,7 +57,7 @@
         return true
     }
 
-    private fun allows(spec: JobSpec, host: PlanMachine, use: Map<Zone, Int>): Boolean {
+    fun allows(spec: JobSpec, host: PlanMachine, use: Map<Zone, Int>): Boolean {
         if (host.spot && !spec.spot) return false
         if (spec.types != null && host.type.name !in spec.types) return false
         if (spec.zone != null && host.zone != spec.zone) return false
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -79,7 +79,21 @@
         left: Int,
     ): Boolean {
         val ready = cheapest(job, need, zones, 0.0) { it.isReady && need.fitsIn(it.free) }
-        if (ready != null && ready.delayS <= 0.0) return start(ready.machine, job, task, need, team, zones)
+        if (ready != null && ready.delayS <= 0.0 && !ready.strands) {
+            return start(ready.machine, job, task, need, team, zones)
+        }
+        // Cores beside idle GPUs are left alone if a machine without GPUs will be up in a moment.
+        val soon = if (ready != null && ready.strands) {
+            cheapest(job, need, zones, 0.0) { !it.isReady && need.fitsIn(it.free) }
+        } else {
+            null
+        }
+        if (ready != null && soon != null && soon.cost < ready.cost) {
+            soon.machine.take(need)
+            soon.machine.id?.let(reserved::add)
+            settle(soon.machine.zone, need, team, zones)
+            return true
+        }
         // A place that isn't free yet is taken only for an earlier start: where the image is, for one.
         val coming = cheapest(job, need, zones, COMING_S) { it.isReady && need.fitsIn(it.free + it.coming) }
         val stopping = Preemption.choose(job, need, team, zones, snapshot, machines)
@@ -91,7 +105,7 @@
                 return start(ready.machine, job, task, need, team, zones)
             coming != null && comingCost <= stoppingCost -> coming.machine
             stopping != null -> stopping.machine.also { stopAll(stopping) }
-            else -> bootingOrRented(job, need, zones, left) ?: return false
+            else -> relieve(job, need, zones) ?: bootingOrRented(job, need, zones, left) ?: return false
         }
         if (host.isReady) promise(host, need) else host.take(need)
         host.id?.let(reserved::add)
@@ -147,23 +161,36 @@
         var best: PlanMachine? = null
         var bestCost = Double.POSITIVE_INFINITY
         var bestDelayS = 0.0
+        var strands = false
         for (machine in machines) {
             if (!Constraints.allow(job, machine) || !zones.allows(machine.zone) || !fits(machine)) continue
             val price = machine.type.price(machine.spot)
             val delayS = machine.readyInS + waitS + machine.fetchS(job.spec)
+            val strandCost = Pricing.strandCost(machine.type, price, machine.free, need, snapshot)
             val cost = Pricing.cost(job, need, machine.type, price, delayS, snapshot) +
-                Pricing.idleCost(machine.type, price, machine.free - need, snapshot) +
-                Pricing.strandCost(machine.type, price, machine.free, need, snapshot)
+                Pricing.idleCost(machine.type, price, machine.free - need, snapshot) + strandCost
             if (cost < bestCost) {
                 best = machine
                 bestCost = cost
                 bestDelayS = delayS
+                strands = strandCost > 0.0
             }
         }
-        return best?.let { Offer(it, bestCost, bestDelayS) }
+        return best?.let { Offer(it, bestCost, bestDelayS, strands) }
     }
 
-    private class Offer(val machine: PlanMachine, val cost: Double, val delayS: Double)
+    private class Offer(val machine: PlanMachine, val cost: Double, val delayS: Double, val strands: Boolean)
+
+    private fun relieve(job: PlanJob, need: Amounts, zones: ZoneRule): PlanMachine? {
+        val choice = Relief.choose(job, need, zones, machines, snapshot) ?: return null
+        for (move in choice.moved) {
+            choice.machine.stop(move.tenant)
+            stops.add(move.tenant.attempt)
+            move.host.take(move.tenant.need)
+            move.host.id?.let(reserved::add)
+        }
+        return choice.machine
+    }
 
     private fun bootingOrRented(job: PlanJob, need: Amounts, zones: ZoneRule, left: Int): PlanMachine? {
         val booting = cheapest(job, need, zones, 0.0) { !it.isReady && need.fitsIn(it.free) }
@@ -365,5 +392,5 @@
     /** Even an early start is worth something: it frees the machine earlier. */
     private const val EAGERNESS = 0.05
     private const val SERVICE_HORIZONS = 10.0
-    private const val STRAND_HORIZONS = 100.0
+    private const val STRAND_HORIZONS = 300.0
 }
--- a/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
@@ -187,6 +187,21 @@
         assertEquals(setOf(MachineId("m1")), second.reserved)
     }
 
+    @Test
+    fun `replicas without GPUs make way on a machine whose GPUs they strand`() {
+        val small = (1..10).map { index ->
+            tenant(spec("run-2$index", gpus = 0.0, cores = 6.0).copy(types = listOf(g8.name, c32.name)))
+        }
+        val stranded = machine("m1", tenants = small)
+        val room = machine("m2", type = c32, images = setOf(ImageName("img")), tenants = listOf(small.last()))
+        val gpuJob = job(spec("run-1", priority = Priority.HIGH))
+        val plan = plan(snapshot(listOf(gpuJob), listOf(stranded, room)))
+        assertEquals(1, plan.stops.size)
+        assertEquals(emptyMap<Kind, Int>(), plan.rentals)
+        val nowhere = plan(snapshot(listOf(gpuJob), listOf(machine("m1", tenants = small))))
+        assertEquals(emptyList<Attempt>(), nowhere.stops)
+    }
+
     @Test
     fun `a nearly empty machine is emptied when its replicas fit elsewhere`() {
         val image = setOf(ImageName("img"))
