--- a/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
+++ b/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
@@ -29,6 +29,8 @@
         gauge("oxbowlug.commit.backlog") { core.commitBacklog }
         gauge("oxbowlug.tasks.waiting") { core.waitingTasks }
         gauge("oxbowlug.machines") { core.machineCount }
+        gauge("oxbowlug.rate.writes.left") { core.writesLeft }
+        gauge("oxbowlug.rate.cloud.left") { core.cloudCallsLeft }
         gauge("oxbowlug.epoch") { core.epoch }
         gauge("oxbowlug.leading") { if (core.isLeading) 1 else 0 }
     }
--- a/src/main/kotlin/oxbowlug/cli/Service.kt
+++ b/src/main/kotlin/oxbowlug/cli/Service.kt
@@ -18,6 +18,7 @@
 import oxbowlug.core.Member
 import oxbowlug.http.HttpCaller
 import oxbowlug.peer.PeerLink
+import oxbowlug.peer.PeerMessage
 import oxbowlug.state.StateClient
 import oxbowlug.worker.WorkerClient
 import java.security.SecureRandom
@@ -64,7 +65,12 @@
         val self = Member(settings.label, random.nextLong().toULong().toString(36))
         core = Core(settings, self, state, cloud, workers, SystemClock, metrics, random) { wake(context) }
         metrics.watch(core)
-        PeerLink(vertx, settings, leaseMs / 20, core::news) { core.offer(Command.HeardPeer(it)) }.start()
+        PeerLink(vertx, settings, leaseMs / 20, core::news, core::images) { message ->
+            when (message) {
+                is PeerMessage.News -> core.offer(Command.HeardPeer(message.news))
+                is PeerMessage.Images -> core.offer(Command.HeardImages(message.images))
+            }
+        }.start()
         ClientServer(vertx, settings, core, metrics::text).start()
             .onSuccess { log.info("{} serves on {}", settings.label, settings.clientListen) }
             .onFailure {
--- a/src/main/kotlin/oxbowlug/core/Command.kt
+++ b/src/main/kotlin/oxbowlug/core/Command.kt
@@ -1,7 +1,9 @@
 package oxbowlug.core
 
+import oxbowlug.wire.ImageName
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobSpec
+import oxbowlug.wire.MachineId
 import oxbowlug.wire.Token
 import oxbowlug.wire.WorkerCommand
 import oxbowlug.wire.WorkerReport
@@ -18,6 +20,8 @@
 
     class HeardPeer(val news: PeerNews) : Command
 
+    class HeardImages(val images: Map<MachineId, List<ImageName>>) : Command
+
     /** The outcome of a call that the core made. */
     class Settled(val action: () -> Unit) : Command
 
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -3,6 +3,7 @@
 import org.agrona.concurrent.ManyToOneConcurrentArrayQueue
 import org.slf4j.LoggerFactory
 import oxbowlug.config.Settings
+import oxbowlug.wire.ImageName
 import oxbowlug.wire.JobId
 import oxbowlug.wire.MachineId
 import oxbowlug.wire.MachineType
@@ -41,6 +42,7 @@
     private var fetchingTypes = false
     private var nextTypesAt = 0L
     private var leader: Leader? = null
+    private var rememberedImages: Map<MachineId, List<ImageName>> = emptyMap()
 
     val queueDepth: Int get() = queue.size
     val submissionsInProgress: Int get() = desk.inProgress
@@ -48,6 +50,8 @@
     val commitBacklog: Int get() = leader?.commitBacklog ?: 0
     val waitingTasks: Int get() = leader?.waitingTasks ?: 0
     val machineCount: Int get() = leader?.fleet?.machines?.size ?: 0
+    val writesLeft: Double get() = leaderWrites.available(clock.steadyMs())
+    val cloudCallsLeft: Double get() = cloudBudget.available(clock.steadyMs())
     val epoch: Long get() = replica.view?.epoch ?: 0
     val isLeading: Boolean get() = authority.role() is Role.Leader
 
@@ -79,6 +83,13 @@
 
     fun news(): PeerNews = PeerNews(self, replica.view?.epoch ?: 0, replica.view?.leader)
 
+    /**
+     * Which images the machines hold, told by the leader to those who may succeed it: reports don't say it, and a
+     * successor that didn't know would have replicas fetch again what lies on the next machine. Empty elsewhere.
+     */
+    fun images(): Map<MachineId, List<ImageName>> =
+        if (isLeading) leader?.fleet?.machines?.mapValues { it.value.images.toList() }.orEmpty() else emptyMap()
+
     /** Who answers for a machine. With one part, the leader answers for all of them. */
     private fun owner(
         @Suppress("UNUSED_PARAMETER") machine: MachineId,
@@ -97,6 +108,7 @@
             is Command.Cancel -> desk.cancel(command.id, command.answer)
             is Command.Report -> command.answer(onReport(command.report))
             is Command.HeardPeer -> authority.hearOfEpoch(command.news.epoch, command.news.leader)
+            is Command.HeardImages -> rememberedImages = command.images
             is Command.Settled -> command.action()
             Command.Tick -> tick()
         }
@@ -137,6 +149,7 @@
         log.info("leading at epoch {}", view.epoch)
         val next = Leader(
             view, names, settings, state, cloud, workers, clock, timing, replica, leaderWrites, cloudBudget, meters,
+            rememberedImages,
         )
         leader = next
         return next
--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -22,6 +22,8 @@
     private val clock: Clock,
     private val timing: Timing,
     val arrivals: Arrivals,
+    /** Images by machine as an earlier leader told them: a hint for prices, never a fact. */
+    private val rememberedImages: Map<MachineId, List<ImageName>> = emptyMap(),
 ) {
     val jobs = LinkedHashMap<JobId, Job>()
     val machines = LinkedHashMap<MachineId, Machine>()
@@ -39,7 +41,9 @@
 
     fun machine(id: MachineId): Machine? {
         if (id in gone) return null
-        return machines.getOrPut(id) { Machine(id, clock.steadyMs()) }
+        return machines.getOrPut(id) {
+            Machine(id, clock.steadyMs()).also { it.images.addAll(rememberedImages[id].orEmpty()) }
+        }
     }
 
     fun takeJob(id: JobId, stored: StoredJob, value: Map<String, Any?>) {
@@ -122,7 +126,6 @@
             // Direct commands carry session and token, so those of an earlier one can't be executed any more.
             host.unresolved.clear()
         }
-        if (report.session > host.stamp.session) host.images.clear()
         val firstHeard = host.heardAt == null
         host.stamp = stamp
         host.token = report.token
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -5,6 +5,7 @@
 import oxbowlug.plan.Plan
 import oxbowlug.plan.Planner
 import oxbowlug.plan.Snapshot
+import oxbowlug.wire.ImageName
 import oxbowlug.wire.MachineId
 import oxbowlug.wire.MachineState
 import oxbowlug.wire.MachineType
@@ -27,9 +28,10 @@
     writeBudget: RateBudget,
     cloudBudget: RateBudget,
     private val meters: Meters,
+    rememberedImages: Map<MachineId, List<ImageName>>,
 ) {
     private val startedAt = clock.steadyMs()
-    val fleet = Fleet(view.token, clock, timing, Arrivals(settings, timing.arrivalsMs))
+    val fleet = Fleet(view.token, clock, timing, Arrivals(settings, timing.arrivalsMs), rememberedImages)
     private val commits = Commits(view, names, settings, state, clock, timing, writeBudget, replica, fleet)
     private val rentals = Rentals(names, settings, cloud, clock, timing, cloudBudget, fleet)
     private val planning = Planning(settings, clock, timing, fleet, rentals, startedAt)
--- a/src/main/kotlin/oxbowlug/peer/PeerFrames.kt
+++ b/src/main/kotlin/oxbowlug/peer/PeerFrames.kt
@@ -4,14 +4,24 @@
 import okio.EOFException
 import oxbowlug.core.Member
 import oxbowlug.core.PeerNews
+import oxbowlug.wire.ImageName
+import oxbowlug.wire.MachineId
 
 /** A frame that isn't one of ours. */
 class MalformedFrame(message: String) : Exception(message)
 
+/** What controllers say to one another. */
+sealed interface PeerMessage {
+    data class News(val news: PeerNews) : PeerMessage
+
+    data class Images(val images: Map<MachineId, List<ImageName>>) : PeerMessage
+}
+
 /** Frames between controllers: a length of four bytes, a kind, and its fields, each text with its length before it. */
 object PeerFrames {
     private const val NEWS = 1
-    private const val MAX_FRAME = 4096
+    private const val IMAGES = 2
+    private const val MAX_FRAME = 64 * 1024
     private const val MAX_TEXT = 200
 
     fun encode(news: PeerNews): Buffer {
@@ -21,6 +31,23 @@
         payload.writeLong(news.epoch)
         payload.writeByte(if (news.leader == null) 0 else 1)
         news.leader?.let { payload.member(it) }
+        return framed(payload)
+    }
+
+    /** Null when it is too much for one frame: it is only a hint. */
+    fun encode(images: Map<MachineId, List<ImageName>>): Buffer? {
+        val payload = Buffer()
+        payload.writeByte(IMAGES)
+        payload.writeInt(images.size)
+        for ((machine, held) in images) {
+            payload.text(machine.value)
+            payload.writeShort(held.size)
+            for (image in held) payload.text(image.value)
+        }
+        return if (payload.size > MAX_FRAME) null else framed(payload)
+    }
+
+    private fun framed(payload: Buffer): Buffer {
         val frame = Buffer()
         frame.writeInt(payload.size.toInt())
         frame.writeAll(payload)
@@ -28,7 +55,7 @@
     }
 
     /** The next whole frame of [input], or null until more has come. */
-    fun next(input: Buffer): PeerNews? {
+    fun next(input: Buffer): PeerMessage? {
         if (input.size < Int.SIZE_BYTES) return null
         val length = input.peek().readInt()
         if (length !in 1..MAX_FRAME) throw MalformedFrame("a frame of $length bytes")
@@ -43,9 +70,24 @@
         }
     }
 
-    private fun decode(payload: Buffer): PeerNews {
-        val kind = payload.readByte().toInt()
-        if (kind != NEWS) throw MalformedFrame("a frame of unknown kind $kind")
+    private fun decode(payload: Buffer): PeerMessage = when (val kind = payload.readByte().toInt()) {
+        NEWS -> PeerMessage.News(decodeNews(payload))
+        IMAGES -> PeerMessage.Images(decodeImages(payload))
+        else -> throw MalformedFrame("a frame of unknown kind $kind")
+    }
+
+    private fun decodeImages(payload: Buffer): Map<MachineId, List<ImageName>> {
+        val count = payload.readInt()
+        if (count !in 0..MAX_FRAME) throw MalformedFrame("$count machines")
+        val images = HashMap<MachineId, List<ImageName>>()
+        repeat(count) {
+            val machine = MachineId(payload.text())
+            images[machine] = List(payload.readShort().toInt().coerceAtLeast(0)) { ImageName(payload.text()) }
+        }
+        return images
+    }
+
+    private fun decodeNews(payload: Buffer): PeerNews {
         val sender = payload.member()
         val epoch = payload.readLong()
         if (epoch < 0) throw MalformedFrame("a negative epoch")
--- a/src/main/kotlin/oxbowlug/peer/PeerLink.kt
+++ b/src/main/kotlin/oxbowlug/peer/PeerLink.kt
@@ -9,6 +9,8 @@
 import oxbowlug.config.Address
 import oxbowlug.config.Settings
 import oxbowlug.core.PeerNews
+import oxbowlug.wire.ImageName
+import oxbowlug.wire.MachineId
 import okio.Buffer as Frames
 
 /**
@@ -20,10 +22,12 @@
     private val settings: Settings,
     private val everyMs: Long,
     private val news: () -> PeerNews,
-    private val heard: (PeerNews) -> Unit,
+    private val images: () -> Map<MachineId, List<ImageName>>,
+    private val heard: (PeerMessage) -> Unit,
 ) {
     private val client = vertx.createNetClient(NetClientOptions().setConnectTimeout((everyMs * 2).toInt()))
     private val outgoing = arrayOfNulls<NetSocket>(settings.peers.size)
+    private var round = 0L
     private val connecting = BooleanArray(settings.peers.size)
 
     fun start() {
@@ -31,7 +35,14 @@
             .connectHandler(::receive)
             .listen()
             .onFailure { log.error("cannot listen for peers on {}: {}", settings.peerListen, it.message) }
-        vertx.setPeriodic(everyMs) { for (index in settings.peers.indices) tell(index) }
+        vertx.setPeriodic(everyMs) {
+            val frames = PeerFrames.encode(news())
+            // Images change slowly, and their frame is the larger one.
+            val held = if (round++ % IMAGES_EVERY == 0L) images() else emptyMap()
+            if (held.isNotEmpty()) PeerFrames.encode(held)?.let { frames.writeAll(it) }
+            val bytes = frames.readByteArray()
+            for (index in settings.peers.indices) tell(index, bytes)
+        }
     }
 
     private fun receive(socket: NetSocket) {
@@ -48,14 +59,14 @@
         socket.exceptionHandler { }
     }
 
-    private fun tell(index: Int) {
+    private fun tell(index: Int, bytes: ByteArray) {
         val socket = outgoing[index]
         if (socket != null) {
             // A peer that reads nothing any more must not be written to for ever.
             if (socket.writeQueueFull()) {
                 socket.close()
             } else {
-                socket.write(Buffer.buffer(PeerFrames.encode(news()).readByteArray()))
+                socket.write(Buffer.buffer(bytes))
             }
             return
         }
@@ -74,6 +85,7 @@
     }
 
     private companion object {
+        const val IMAGES_EVERY = 10L
         val log = LoggerFactory.getLogger("peer")
     }
 }
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
@@ -0,0 +1,137 @@
+package oxbowlug.core
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import oxbowlug.config.SettingsFile
+import oxbowlug.sim.DriftingClock
+import oxbowlug.sim.SimStore
+import oxbowlug.sim.World
+import oxbowlug.wire.JobId
+import oxbowlug.wire.ReadPage
+import oxbowlug.wire.Transaction
+import kotlin.random.Random
+
+/** Who leads, who believes to, and who may only keep answering. */
+class AuthorityTest {
+    private val world = World(1)
+    private val store = SimStore(world)
+
+    private inner class Port : StatePort {
+        var reachable = true
+
+        private fun <T> answer(away: T, done: (T) -> Unit, execute: () -> T) {
+            world.after(2) { if (reachable) done(execute()) else world.after(200) { done(away) } }
+        }
+
+        override fun commit(transaction: Transaction, done: (CommitOutcome) -> Unit) =
+            answer(CommitOutcome.Unanswered, done) { store.commit(transaction) }
+
+        override fun readPage(prefix: String, after: String?, done: (ReadPage?) -> Unit) =
+            answer(null, done) { store.read(prefix, after, 100) }
+
+        override fun changes(prefix: String, from: Long, waitMs: Long, done: (ChangesOutcome) -> Unit) =
+            answer(ChangesOutcome.Failed, done) { store.changes(prefix, from) }
+
+        override fun grant(lifeMs: Long, done: (Long?) -> Unit) = answer(null, done) { store.grant(lifeMs) }
+
+        override fun touch(lease: Long, done: (TouchOutcome) -> Unit) =
+            answer(TouchOutcome.FAILED, done) { store.touch(lease) }
+
+        override fun release(lease: Long) = answer(Unit, {}) { store.release(lease) }
+    }
+
+    private inner class Node(label: String, life: String) {
+        private val clock = DriftingClock(world, 0.0, 0)
+        private val timing = Timing(SettingsFile.parse(SettingsTexts.valid), Random(2))
+        private val port = Port()
+        private val replica = Replica(port, clock, timing, Deaf)
+        private val authority = Authority(Member(label, life), port, clock, timing, replica)
+        private var alive = true
+        val role: Role get() = authority.role()
+
+        init {
+            tick()
+        }
+
+        private fun tick() {
+            if (!alive) return
+            replica.tick()
+            authority.tick()
+            world.after(20) { tick() }
+        }
+
+        fun crash() {
+            alive = false
+        }
+
+        fun cutFromState() {
+            port.reachable = false
+        }
+
+        fun hears(epoch: Long, leader: Member?) = authority.hearOfEpoch(epoch, leader)
+    }
+
+    private object Deaf : ReplicaListener {
+        override fun onView(view: View) = Unit
+
+        override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
+
+        override fun onMembers() = Unit
+    }
+
+    private val leaseMs = Timing(SettingsFile.parse(SettingsTexts.valid), Random(2)).leaseLifeMs
+
+    @Test
+    fun `one leads, and a successor comes only after the leader's lease`() {
+        val first = Node("n0", "x")
+        world.runUntil(500)
+        val second = Node("n1", "y")
+        world.runUntil(1000)
+        assertTrue(first.role is Role.Leader)
+        assertEquals(Role.Follower(Member("n0", "x")), second.role)
+        first.crash()
+        world.runUntil(1000 + leaseMs / 2)
+        assertTrue(second.role is Role.Follower, "the lease still runs")
+        world.runUntil(1000 + leaseMs + 1500)
+        val role = second.role
+        assertTrue(role is Role.Leader && role.view.epoch == 2L && role.view.token.value == 2L, "$role")
+    }
+
+    @Test
+    fun `a restarted leader is not taken for its earlier life`() {
+        val first = Node("n0", "x")
+        world.runUntil(500)
+        first.crash()
+        val again = Node("n0", "z")
+        world.runUntil(800)
+        assertEquals(Role.Follower(Member("n0", "x")), again.role)
+        world.runUntil(500 + leaseMs + 2000)
+        assertTrue(again.role is Role.Leader)
+    }
+
+    @Test
+    fun `a leader without the state service stops deciding before anybody can succeed it`() {
+        val first = Node("n0", "x")
+        world.runUntil(500)
+        val second = Node("n1", "y")
+        world.runUntil(1000)
+        first.cutFromState()
+        while (second.role !is Role.Leader && world.nowMs < 20_000) {
+            world.runUntil(world.nowMs + 20)
+            assertTrue(first.role !is Role.Leader || second.role !is Role.Leader, "two leaders at ${world.nowMs}")
+        }
+        assertTrue(second.role is Role.Leader)
+        assertTrue(first.role is Role.Caretaker)
+        first.hears(2, Member("n1", "y"))
+        assertEquals(Role.Follower(Member("n1", "y")), first.role, "it sends its workers on")
+    }
+
+    @Test
+    fun `a worker's newer token alone ends a leader's claim`() {
+        val first = Node("n0", "x")
+        world.runUntil(500)
+        first.hears(7, null)
+        assertEquals(Role.Unknown, first.role)
+    }
+}
--- a/src/test/kotlin/oxbowlug/peer/PeerFramesTest.kt
+++ b/src/test/kotlin/oxbowlug/peer/PeerFramesTest.kt
@@ -6,6 +6,8 @@
 import org.junit.jupiter.api.Test
 import oxbowlug.core.Member
 import oxbowlug.core.PeerNews
+import oxbowlug.wire.ImageName
+import oxbowlug.wire.MachineId
 
 class PeerFramesTest {
     private val news = PeerNews(Member("n0", "x1"), 7, Member("n1", "y2"))
@@ -20,10 +22,20 @@
             val got = generateSequence { PeerFrames.next(input) }.toMutableList()
             input.write(whole, cut, whole.size - cut)
             got += generateSequence { PeerFrames.next(input) }
-            assertEquals(listOf(news, news.copy(leader = null)), got, "cut at $cut")
+            val expected = listOf(news, news.copy(leader = null)).map { PeerMessage.News(it) }
+            assertEquals(expected, got, "cut at $cut")
         }
     }
 
+    @Test
+    fun `images come over as they are, unless they are too many for a frame`() {
+        val held = listOf(ImageName("a"), ImageName("b"))
+        val images = mapOf(MachineId("host-1") to held, MachineId("host-2") to emptyList())
+        val frame = PeerFrames.encode(images) ?: error("fits")
+        assertEquals(PeerMessage.Images(images), PeerFrames.next(frame))
+        assertEquals(null, PeerFrames.encode((1..10_000).associate { MachineId("host-$it") to listOf(ImageName("a")) }))
+    }
+
     @Test
     fun `what isn't a frame is refused`() {
         val cases = listOf(
