A leader that no worker reaches gives its lease back

Cause: cut from the workers alone, a leader kept its lease and the others sent all workers on to it until their leases were over and everything was killed. It now resigns after 0.35 of a worker's lease without a report, if another controller is there. Ruled out: acting on part of the workers (they may hang). Test: SimulationTest 'the leader loses its workers alone'.

--- a/src/main/kotlin/oxbowlug/core/Commits.kt
+++ b/src/main/kotlin/oxbowlug/core/Commits.kt
@@ -118,6 +118,7 @@
     }
 }
 
+/** An upper bound of a record's size in the form in which the state service counts it. */
 object RecordSize {
     fun bound(job: Job): Int {
         val machines = job.live.values.mapTo(HashSet()) { it.machine }.size
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -133,7 +133,14 @@
         authority.tick()
         val now = clock.steadyMs()
         if (!fetchingTypes && now >= nextTypesAt) fetchTypes()
-        if (authority.role() is Role.Leader) leading()?.tick(types)
+        if (authority.role() !is Role.Leader) return
+        val leading = leading() ?: return
+        leading.tick(types)
+        // Cut from the workers alone, a leader would send them all to itself until their leases are over.
+        if (leading.hasLostItsWorkers(now) && replica.memberCount() > 1) {
+            log.info("no worker reaches this leader any more")
+            authority.resign()
+        }
     }
 
     /** The leader's model under the present view; made once the copy holds all that was committed before it. */
@@ -178,8 +185,6 @@
         override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) {
             leader?.fleet?.takeJob(id, job, value)
         }
-
-        override fun onMembers() = Unit
     }
 
     private companion object {
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -49,9 +49,19 @@
         replica.forEachActive { id, stored -> stored.value?.let { fleet.takeJob(id, stored, it) } }
     }
 
+    private var lastReportAt: Long? = null
+
+    /** Workers reported in this term, and for some reports' time none does: either all hang, or we are cut off. */
+    fun hasLostItsWorkers(now: Long): Boolean {
+        val last = lastReportAt ?: return false
+        val expected = fleet.machines.values.any { it.heardAt != null && !it.returning }
+        return expected && now - last > timing.workersLostMs
+    }
+
     /** A report under our lead. Null: the machine is gone for us, and nothing may renew it. */
     fun onReport(report: WorkerReport, mayCommand: Boolean): List<WorkerCommand>? {
         val host = fleet.hear(report, hello = true) ?: return null
+        lastReportAt = clock.steadyMs()
         if (!mayCommand || report.session <= host.endedSession) return emptyList()
         val stamp = Stamp(report.session, report.sequence)
         // The answer to a copy goes nowhere; it must not look as if the worker had been told.
--- a/src/main/kotlin/oxbowlug/core/Records.kt
+++ b/src/main/kotlin/oxbowlug/core/Records.kt
@@ -104,12 +104,6 @@
         }
     }
 
-    /** An upper bound of the record's size in the form in which the state service counts it. */
-    fun sizeBound(): Int {
-        val machines = placements.values.mapTo(HashSet()) { it.machine }.size
-        return SPEC_BOUND + Ranges.sizeBound(done) + machines * MACHINE_BOUND + placements.size * PLACEMENT_BOUND
-    }
-
     companion object {
         const val SPEC_BOUND = 2048
         const val MACHINE_BOUND = 48
--- a/src/main/kotlin/oxbowlug/core/Replica.kt
+++ b/src/main/kotlin/oxbowlug/core/Replica.kt
@@ -31,8 +31,6 @@
 
     /** [value] is the record as it is stored, also of a job whose record the copy doesn't keep. */
     fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>)
-
-    fun onMembers()
 }
 
 /**
@@ -178,7 +176,6 @@
         val present = entries.mapTo(HashSet(entries.size * 2)) { it.key }
         jobs.keys.retainAll { Keys.job(it) in present }
         for (entry in entries) apply(Event(entry.key, entry.value, entry.version))
-        listener.onMembers()
         log.info("copied {} entries at revision {}", entries.size, from)
     }
 
@@ -188,8 +185,7 @@
                 event.key == Keys.VIEW -> applyView(event)
                 event.key.startsWith(Keys.JOBS) -> applyJob(event)
                 event.key.startsWith(Keys.MEMBERS) -> {
-                    val changed = if (event.value == null) members.remove(event.key) else members.add(event.key)
-                    if (changed && synced) listener.onMembers()
+                    if (event.value == null) members.remove(event.key) else members.add(event.key)
                 }
             }
         } catch (e: InvalidField) {
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -24,6 +24,9 @@
 
     /** A machine that missed this many reports is not given new work. */
     val quietMs: Long = (reportMs * 2.5).toLong()
+
+    /** Early enough for a successor to answer before the workers' leases are over. */
+    val workersLostMs: Long = (workerLeaseMs * 0.35).toLong()
     val cancelMs: Long = (settings.workers.cancelS * 1000.0).toLong()
 
     /** Half of the time allowed for a cancellation: then a machine that can't be reached is returned. */
--- a/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
+++ b/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
@@ -76,8 +76,6 @@
         override fun onView(view: View) = Unit
 
         override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
-
-        override fun onMembers() = Unit
     }
 
     private val leaseMs = Timing(SettingsFile.parse(SettingsTexts.valid), Random(2)).leaseLifeMs
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -49,6 +49,9 @@
     /** Cut from the state service alone. */
     var withoutState = false
 
+    /** Cut from the workers alone. */
+    var withoutWorkers = false
+
     /** Cut from everything. */
     var cut = false
 
@@ -89,8 +92,15 @@
 
     fun receive(report: WorkerReport, answer: (ReportAnswer?) -> Unit) {
         val running = core
-        if (cut) return
-        if (running == null) answer(null) else running.offer(Command.Report(report) { if (!cut) answer(it) })
+        if (cut || withoutWorkers) return
+        if (running == null)
+            answer(null)
+        else
+            running.offer(
+                Command.Report(report) {
+                    if (!cut && !withoutWorkers) answer(it)
+                }
+            )
     }
 
     /** False when nobody listens. */
@@ -184,7 +194,8 @@
             done: (DirectOutcome) -> Unit,
         ) {
             val worker = endpoints(endpoint)
-            if (cut || worker == null || !worker.alive) return settle(TIMEOUT_MS, DirectOutcome.NotSent, done)
+            val isAway = cut || withoutWorkers || worker == null || !worker.alive
+            if (isAway || worker == null) return settle(TIMEOUT_MS, DirectOutcome.NotSent, done)
             var answered = false
             val isLate = world.chance(weather.late)
             val delay = if (isLate) world.between(TIMEOUT_MS, weather.lateMs) else world.between(1, 15)
--- a/src/test/kotlin/oxbowlug/sim/SimulationTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimulationTest.kt
@@ -96,6 +96,15 @@
                     world.after(25_000) { node.cut = false }
                 }
             },
+            Trouble("the leader loses its workers alone") { day ->
+                day.at(30_000) {
+                    val node = nodes[leaderIndex()]
+                    node.withoutWorkers = true
+                    world.after(25_000) { node.withoutWorkers = false }
+                    // Before the workers' leases are over another one answers them.
+                    world.after(8_000) { check(nodes[leaderIndex()] !== node) { "still led by the one cut off" } }
+                }
+            },
             Trouble("machines hang, within their lease and beyond it") { day ->
                 day.hang(25_000, 6_000)
                 day.hang(35_000, 14_000)
