--- a/src/main/kotlin/oxbowlug/cli/Logging.kt
+++ b/src/main/kotlin/oxbowlug/cli/Logging.kt
@@ -12,8 +12,8 @@
         if (chosen !in levels) throw InvalidSettings("LOG_LEVEL: must be one of ${levels.joinToString(", ")}")
         set("defaultLogLevel", chosen)
         set("showThreadName", "false")
+        // Milliseconds since the start: a formatted date would load calendars and locales when the process starts.
         set("showDateTime", "true")
-        set("dateTimeFormat", "HH:mm:ss.SSS")
         // The libraries' own chatter is of no use to operators.
         set("log.io.netty", "error")
         set("log.io.vertx", "error")
--- a/src/main/kotlin/oxbowlug/cli/Service.kt
+++ b/src/main/kotlin/oxbowlug/cli/Service.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import io.vertx.core.file.FileSystemOptions
+import io.vertx.core.logging.SLF4JLogDelegateFactory
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -22,7 +23,8 @@
 import oxbowlug.peer.PeerMessage
 import oxbowlug.state.StateClient
 import oxbowlug.worker.WorkerClient
-import java.security.SecureRandom
+import java.io.File
+import java.nio.ByteBuffer
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
@@ -61,8 +63,7 @@
             settings.cloudAddress, HttpCaller(vertx, CLOUD_CONNECTIONS), scope, leaseMs / 2, settle,
         )
         val workers = WorkerClient(HttpCaller(vertx, 1), scope, leaseMs / 5, settle)
-        val seed = SecureRandom.getInstance("NativePRNGNonBlocking").nextLong()
-        val random = Random(seed)
+        val random = Random(seed())
         val self = Member(settings.label, random.nextLong().toULong().toString(36))
         val news = { core.news() }
         val images = { core.images() }
@@ -87,6 +88,10 @@
         core.offer(Command.Tick)
     }
 
+    /** Straight from the system: looking for a provider of secure numbers takes a part of the start, for one number. */
+    private fun seed(): Long =
+        File("/dev/urandom").inputStream().use { ByteBuffer.wrap(it.readNBytes(Long.SIZE_BYTES)).long }
+
     /** One drain is scheduled for however many commands come until it runs. */
     private fun wake(context: Context) {
         if (draining) return
@@ -111,6 +116,10 @@
         System.setProperty("io.netty.allocator.type", "unpooled")
         System.setProperty("io.netty.recycler.maxCapacityPerThread", "0")
         System.setProperty("io.netty.noUnsafe", "false")
+        // What is named here isn't searched for when the process starts.
+        System.setProperty("vertx.logger-delegate-factory-class-name", SLF4JLogDelegateFactory::class.java.name)
+        System.setProperty("io.netty.processId", "1")
+        System.setProperty("io.netty.machineId", "02:00:00:00:00:00")
     }
 
     private object SystemClock : Clock {
--- a/src/main/kotlin/oxbowlug/config/SettingsFile.kt
+++ b/src/main/kotlin/oxbowlug/config/SettingsFile.kt
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.core.JacksonException
 import com.fasterxml.jackson.databind.JsonNode
-import com.fasterxml.jackson.dataformat.toml.TomlMapper
+import com.fasterxml.jackson.databind.node.JsonNodeFactory
 import oxbowlug.wire.ClassName
 import oxbowlug.wire.TeamName
 import oxbowlug.wire.Zone
@@ -11,7 +11,7 @@
 object SettingsFile {
     fun parse(text: String, policy: Policy = Policy()): Settings {
         val root = try {
-            TomlMapper().readTree(text)
+            TomlTree.read(text)
         } catch (e: JacksonException) {
             throw InvalidSettings("not valid TOML: ${e.originalMessage}")
         }
@@ -125,7 +125,7 @@
         }
 
         fun tableOrEmpty(name: String): Table =
-            if (child(name) == null) Table(TomlMapper().createObjectNode(), "$path$name.") else table(name)
+            if (child(name) == null) Table(JsonNodeFactory.instance.objectNode(), "$path$name.") else table(name)
 
         fun tables(name: String): List<Table> {
             val value = child(name) ?: return emptyList()
