Pledge room to replicas that are moved, and place them first

Room for what is being stopped to be moved is now held on its target, and what was moved is placed before anything else.

--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -95,8 +95,9 @@
         host.idleSince = null
     }
 
-    fun stop(placed: Live, reason: StopReason) {
+    fun stop(placed: Live, reason: StopReason, target: MachineId? = null) {
         placed.stop = reason
+        placed.target = target
         val host = machines[placed.machine]
         dropOrPoke(host, placed)
     }
@@ -108,7 +109,9 @@
 
     /** The attempt is gone, or was never there. */
     private fun remove(placed: Live) {
-        placed.job.drop(placed.task, clock.steadyMs())
+        val now = clock.steadyMs()
+        if (placed.target != null) placed.job.movingUntil = now + timing.movingMs
+        placed.job.drop(placed.task, now)
         machines[placed.machine]?.live?.remove(placed.attempt)
         planWanted = true
     }
--- a/src/main/kotlin/oxbowlug/core/Job.kt
+++ b/src/main/kotlin/oxbowlug/core/Job.kt
@@ -27,6 +27,9 @@
     var answeredAt: Stamp? = null
     private var firstSentAt: Long? = null
     var stop: StopReason? = null
+
+    /** Where it is to go on, if it was stopped only to be moved. */
+    var target: MachineId? = null
     val isWanted: Boolean get() = stop == null && job.phase == Phase.ACTIVE
 
     fun sentInAnswer(stamp: Stamp, now: Long) {
@@ -74,6 +77,9 @@
     val isWriting: Boolean get() = pendingRecord != null
     var cancelledAt: Long? = null
 
+    /** Until then it goes before others, since room was found for it before it was stopped. */
+    var movingUntil = 0L
+
     /** Backing off after errors: no new starts before this. */
     var holdUntil = 0L
     var failures = 0
--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -13,6 +13,7 @@
 import oxbowlug.wire.ClassName
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobKind
+import oxbowlug.wire.MachineId
 import oxbowlug.wire.MachineState
 import oxbowlug.wire.MachineType
 import oxbowlug.wire.TaskState
@@ -47,7 +48,8 @@
         }
         val machines = ArrayList<PlanMachine>(fleet.machines.size)
         val zoneUses = ZoneUses(fleet)
-        for (host in fleet.machines.values) machine(host, types, zoneUses, now)?.let(machines::add)
+        val pledges = pledges()
+        for (host in fleet.machines.values) machine(host, types, zoneUses, pledges, now)?.let(machines::add)
         for (order in rentals.ordered) addOrdered(order, types, now, machines)
         return Snapshot(
             jobs = fleet.jobs.values.mapNotNull { job(it, zoneUses, now) } + reserves(types),
@@ -95,6 +97,7 @@
             deadlineInS = job.spec.deadlineS?.let { it - waitedS },
             weight = weights.of(job.spec.className),
             avoid = job.avoid.keys,
+            isMoving = now < job.movingUntil,
         )
     }
 
@@ -132,6 +135,7 @@
         host: Machine,
         types: Map<TypeName, MachineType>,
         zoneUses: ZoneUses,
+        pledges: Map<MachineId, Amounts>,
         now: Long,
     ): PlanMachine? {
         val type = types[host.type ?: return null] ?: return null
@@ -144,7 +148,7 @@
             type = type,
             zone = zone,
             spot = host.spot,
-            free = host.free(type, strangers(host)),
+            free = host.free(type, strangers(host)) - (pledges[host.id] ?: Amounts.NONE),
             readyInS = readyInS,
             images = host.images,
             fetching = fleet.fetching(host),
@@ -177,6 +181,18 @@
         return sum
     }
 
+    /** Room for tasks that are being stopped to go there: taken by others, it would leave them without a place. */
+    private fun pledges(): Map<MachineId, Amounts> {
+        val result = HashMap<MachineId, Amounts>()
+        for (job in fleet.jobs.values) {
+            for (placed in job.live.values) {
+                val target = placed.target ?: continue
+                if (placed.stop != null) result.merge(target, job.spec.amounts(), Amounts::plus)
+            }
+        }
+        return result
+    }
+
     private fun leaving(host: Machine): Amounts {
         var sum = Amounts.NONE
         for (placed in host.live.values) if (!placed.isWanted) sum += placed.job.spec.amounts()
@@ -222,13 +238,13 @@
         for (job in touched) job.closeRound()
         for (attempt in plan.stops) {
             val placed = fleet.jobs[attempt.task.job]?.live?.get(attempt.task.index) ?: continue
-            if (placed.attempt == attempt) fleet.stop(placed, StopReason.PREEMPTED)
+            if (placed.attempt == attempt) fleet.stop(placed, StopReason.PREEMPTED, plan.targets[attempt])
         }
         plan.move?.let { move ->
             fleet.machines[move.machine]?.emptying = true
-            for (attempt in move.stops) {
+            for ((attempt, target) in move.targets) {
                 val placed = fleet.jobs[attempt.task.job]?.live?.get(attempt.task.index) ?: continue
-                if (placed.attempt == attempt) fleet.stop(placed, StopReason.DRAINED)
+                if (placed.attempt == attempt) fleet.stop(placed, StopReason.DRAINED, target)
             }
         }
         for ((kind, count) in plan.rentals) rentals.rent(kind, count)
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -83,6 +83,9 @@
     /** A failed call is repeated after a jittered pause, so that controllers don't come in step. */
     fun retryMs(): Long = retryBaseMs + random.nextLong(retryBaseMs + 1)
 
+    /** A moved task should be placed again with the next plan or two. */
+    val movingMs: Long = reportMs.toLong() * 2
+
     /**
      * Until the next machine may be emptied after one with replicas of [jobs] jobs. Each job is written twice for it,
      * and moves may use a quarter of the write rate: so a large fleet shrinks as fast as its rates allow.
--- a/src/main/kotlin/oxbowlug/plan/Consolidation.kt
+++ b/src/main/kotlin/oxbowlug/plan/Consolidation.kt
@@ -11,8 +11,9 @@
  * boot of machine time and the time that the moved replicas are down.
  */
 object Consolidation {
-    class Move(val machine: MachineId, val stops: List<Attempt>) {
-        val jobs: Int get() = stops.distinctBy { it.task.job }.size
+    /** [targets] says where the replicas of [machine] go. */
+    class Move(val machine: MachineId, val targets: Map<Attempt, MachineId>) {
+        val jobs: Int get() = targets.keys.distinctBy { it.task.job }.size
     }
 
     fun choose(machines: List<PlanMachine>, reserved: Set<MachineId>, snapshot: Snapshot): Move? {
@@ -25,9 +26,8 @@
         val hosts = machines.filter { it.isReady && !it.isEmpty }.sortedBy { it.type.share(it.free) }
         for (machine in candidates) {
             if (gain(machine, snapshot) <= 0.0) return null
-            if (fitsElsewhere(machine, hosts)) {
-                return Move(machine.id ?: continue, machine.tenants.map { it.attempt })
-            }
+            val targets = elsewhere(machine, hosts) ?: continue
+            return Move(machine.id ?: continue, targets)
         }
         return null
     }
@@ -44,7 +44,8 @@
         return saved - maxOf(boot, down)
     }
 
-    private fun fitsElsewhere(machine: PlanMachine, hosts: List<PlanMachine>): Boolean {
+    private fun elsewhere(machine: PlanMachine, hosts: List<PlanMachine>): Map<Attempt, MachineId>? {
+        val targets = LinkedHashMap<Attempt, MachineId>()
         val free = HashMap<PlanMachine, Amounts>()
         val zoneUse = HashMap<String, HashMap<Zone, Int>>()
         for (tenant in machine.tenants) {
@@ -54,11 +55,12 @@
             val host = hosts.firstOrNull { other ->
                 other !== machine && allows(spec, other, use) &&
                     spec.image in other.images && spec.amounts().fitsIn(free[other] ?: other.free)
-            } ?: return false
+            } ?: return null
+            targets[tenant.attempt] = host.id ?: return null
             free[host] = (free[host] ?: host.free) - spec.amounts()
             use.merge(host.zone, 1, Int::plus)
         }
-        return true
+        return targets
     }
 
     fun allows(spec: JobSpec, host: PlanMachine, use: Map<Zone, Int>): Boolean {
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -19,6 +19,7 @@
     private val hasMachinesWithoutGpus = machines.any { it.type.gpus <= 0.0 }
     private val starts = ArrayList<Start>()
     private val stops = ArrayList<Attempt>()
+    private val targets = HashMap<Attempt, MachineId>()
     private val rentals = LinkedHashMap<Kind, Int>()
     private val reserved = LinkedHashSet<MachineId>()
     private var unplaced = 0
@@ -30,6 +31,8 @@
     fun plan(): Plan {
         val (reserves, jobs) = snapshot.jobs.partition { it.isReserve }
         val placings = Ranking.order(jobs, snapshot.horizonS, snapshot.postponeFactor).mapNotNull(::placing)
+        // Room was found for them before they were stopped; nobody else may take it meanwhile.
+        for (placing in placings) if (placing.job.isMoving) placeTasks(placing, guaranteedOnly = false)
         // What a guarantee covers may displace whatever is borrowed, so it goes before it, whatever the priorities:
         // placed after, it would stop what this plan has just started, in every plan again.
         for (placing in placings) if (placing.mayBeGuaranteed()) placeTasks(placing, guaranteedOnly = true)
@@ -40,7 +43,7 @@
         val calm = unplaced == 0 && stops.isEmpty()
         for (job in Ranking.order(reserves, snapshot.horizonS, snapshot.postponeFactor)) reserve(job)
         val move = if (calm && snapshot.mayMove) Consolidation.choose(machines, reserved, snapshot) else null
-        return Plan(starts, stops, rentals, reserved, unplaced, move)
+        return Plan(starts, stops, targets, rentals, reserved, unplaced, move)
     }
 
     /** How far the tasks of one job have been placed. */
@@ -180,7 +183,10 @@
             choice.machine.stop(move.tenant)
             stops.add(move.tenant.attempt)
             move.host.take(move.tenant.need)
-            move.host.id?.let(reserved::add)
+            move.host.id?.let {
+                reserved.add(it)
+                targets[move.tenant.attempt] = it
+            }
         }
         return choice.machine
     }
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -151,6 +151,8 @@
     val weight: Double,
     /** Machines on which this job failed, or was refused, a short while ago. */
     val avoid: Set<MachineId>,
+    /** Some of its tasks were stopped a moment ago to go elsewhere. */
+    val isMoving: Boolean = false,
     /** Stands for tasks that are expected, not there yet: holds room, starts nothing and stops nothing. */
     val isReserve: Boolean = false,
 )
@@ -225,6 +227,8 @@
 class Plan(
     val starts: List<Start>,
     val stops: List<Attempt>,
+    /** Where those of [stops] go that are only moved. */
+    val targets: Map<Attempt, MachineId>,
     val rentals: Map<Kind, Int>,
     /** Machines, ready or not, on which this plan relies for tasks that can't start yet. */
     val reserved: Set<MachineId>,
--- a/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
@@ -191,6 +191,18 @@
         assertEquals(emptyList<Attempt>(), plan.stops)
     }
 
+    @Test
+    fun `a task that is being moved goes before what came meanwhile`() {
+        // Found on the bench: a large array took the room between the stop of some replicas and their next start, and
+        // they waited for a machine to boot.
+        val moved = job(spec("run-2", priority = Priority.HIGH, gpus = 8.0)).let {
+            PlanJob(it.id, it.spec, it.pending, it.zoneUse, 0.0, 0.0, null, 1.0, emptySet(), isMoving = true)
+        }
+        val urgent = job(spec("run-1", gpus = 8.0))
+        val plan = plan(snapshot(listOf(urgent, moved), listOf(machine("m1"))))
+        assertEquals(listOf(Start(JobId("run-2"), 0, MachineId("m1"))), plan.starts)
+    }
+
     @Test
     fun `room that comes free is not made a second time`() {
         val stopping = tenant(spec("run-9", JobKind.ARRAY, Priority.NORMAL, gpus = 8.0))
@@ -214,6 +226,7 @@
         val gpuJob = job(spec("run-1", priority = Priority.HIGH))
         val plan = plan(snapshot(listOf(gpuJob), listOf(stranded, room)))
         assertEquals(1, plan.stops.size)
+        assertEquals(mapOf(plan.stops.single() to MachineId("m2")), plan.targets)
         assertEquals(emptyMap<Kind, Int>(), plan.rentals)
         val nowhere = plan(snapshot(listOf(gpuJob), listOf(machine("m1", tenants = small))))
         assertEquals(emptyList<Attempt>(), nowhere.stops)
@@ -226,6 +239,7 @@
         val other = machine("m2", tenants = listOf(tenant(spec("run-9", gpus = 6.0))), images = image)
         val plan = plan(snapshot(emptyList(), listOf(crumbs, other), mayMove = true))
         assertEquals(MachineId("m1"), plan.move?.machine)
+        assertEquals(listOf(MachineId("m2")), plan.move?.targets?.values?.toList())
         val young = machine("m1", tenants = listOf(tenant(spec("run-8"), ranS = 5.0)), images = image)
         val old = machine("m2", tenants = listOf(tenant(spec("run-9"), ranS = 5.0)), images = image)
         assertEquals(null, plan(snapshot(emptyList(), listOf(young, old), mayMove = true)).move)
