Price stops like free room, so that small tasks stop stopping GPU tasks in turn

The price of free room held the GPUs that a task without GPUs would strand there; the price of room made by a stop did not. So such a task stopped one GPU task in each plan, never started, and the stopped ones, placed again, were stopped in turn (attempts numbered 240 in half a minute, 430 plans in 30 s, commits at the limit of the write rate).

Ruled out: missing capacity (free GPUs in the plan's line), processor (8%), the writes of moves. A test plays the two plans.

--- a/src/main/kotlin/oxbowlug/plan/Preemption.kt
+++ b/src/main/kotlin/oxbowlug/plan/Preemption.kt
@@ -37,7 +37,11 @@
         val losses = chosen.sumOf { victim ->
             Pricing.omega(victim.weight, snapshot) * (victim.saveS + victim.lossS + victim.restartS)
         }
-        return Choice(machine, chosen, Pricing.cost(job, need, machine.type, price, delayS, snapshot) + losses)
+        // Priced like free room is: else stopping a GPU's task would look cheaper than the free cores beside it.
+        val cost = Pricing.cost(job, need, machine.type, price, delayS, snapshot) +
+            Pricing.idleCost(machine.type, price, room - need, snapshot) +
+            Pricing.strandCost(machine.type, price, room, need, snapshot)
+        return Choice(machine, chosen, cost + losses)
     }
 
     /**
--- a/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
@@ -191,6 +191,22 @@
         assertEquals(emptyList<Attempt>(), plan.stops)
     }
 
+    @Test
+    fun `a task without GPUs takes the room made for it rather than stop one more task`() {
+        // Found on the bench: it stopped one task in each plan, never started itself, and the stopped ones started and
+        // were stopped in turn, twenty times a second.
+        val image = setOf(ImageName("img"))
+        val others = (1..8).map { index ->
+            tenant(spec("run-9$index", priority = Priority.HIGH, cores = 8.0), ranS = 0.0)
+        }
+        val roomMade = machine("m1", images = image, tenants = others.drop(1))
+        val full = machine("m2", images = image, tenants = others)
+        val small = job(spec("run-1", gpus = 0.0, cores = 4.0).copy(types = listOf(g8.name)))
+        val plan = plan(snapshot(listOf(small), listOf(roomMade, full)))
+        assertEquals(listOf(Start(JobId("run-1"), 0, MachineId("m1"))), plan.starts)
+        assertEquals(emptyList<Attempt>(), plan.stops)
+    }
+
     @Test
     fun `a task that is being moved goes before what came meanwhile`() {
         // Found on the bench: a large array took the room between the stop of some replicas and their next start, and
