--- a/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
+++ b/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
@@ -18,7 +18,12 @@
     private val steps = Timer.builder("oxbowlug.step").publishPercentiles(0.5, 0.99).register(registry)
     private val waits = Timer.builder("oxbowlug.queue.delay").publishPercentiles(0.5, 0.99).register(registry)
 
-    override fun planned(nanos: Long) = plans.record(nanos, TimeUnit.NANOSECONDS)
+    private val priced = Counter.builder("oxbowlug.plan.priced").register(registry)
+
+    override fun planned(nanos: Long, priced: Int) {
+        plans.record(nanos, TimeUnit.NANOSECONDS)
+        this.priced.increment(priced.toDouble())
+    }
 
     override fun stepped(nanos: Long) = steps.record(nanos, TimeUnit.NANOSECONDS)
 
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -103,7 +103,7 @@
         if (log.isDebugEnabled) log.debug("{}", PlanSummary(plan, snapshot))
         planning.apply(plan)
         val tookNs = System.nanoTime() - began
-        load.planned(tookNs)
+        load.planned(tookNs, plan.priced)
         if (mayMove) nextMoveAt = now + timing.movePauseMs(plan.move?.jobs ?: 0)
         reserved = plan.reserved
         unplaced = plan.unplaced
--- a/src/main/kotlin/oxbowlug/core/Load.kt
+++ b/src/main/kotlin/oxbowlug/core/Load.kt
@@ -28,8 +28,8 @@
         window.longestStepNs = maxOf(window.longestStepNs, nanos)
     }
 
-    fun planned(nanos: Long) {
-        meters.planned(nanos)
+    fun planned(nanos: Long, priced: Int) {
+        meters.planned(nanos, priced)
         window.plans++
         window.plansNs += nanos
         window.longestPlanNs = maxOf(window.longestPlanNs, nanos)
--- a/src/main/kotlin/oxbowlug/core/Meters.kt
+++ b/src/main/kotlin/oxbowlug/core/Meters.kt
@@ -2,7 +2,8 @@
 
 /** What the core counts; the adapter publishes it. */
 interface Meters {
-    fun planned(nanos: Long)
+    /** A plan took so long, and priced so many machines, each counted once for a job and kind of room. */
+    fun planned(nanos: Long, priced: Int)
 
     /** One batch of commands was worked through. */
     fun stepped(nanos: Long)
--- a/src/main/kotlin/oxbowlug/plan/Offers.kt
+++ b/src/main/kotlin/oxbowlug/plan/Offers.kt
@@ -36,6 +36,8 @@
     private val zones = ArrayList<Zone>()
     private val zoneOf = IntArrayList()
     private var allowed = BooleanArray(0)
+    var priced = 0
+        private set
     private lateinit var job: PlanJob
     private lateinit var need: Amounts
 
@@ -94,6 +96,7 @@
     }
 
     private fun price(machine: PlanMachine, room: Room): Double {
+        priced++
         val fits = when (room) {
             Room.READY -> machine.isReady && need.fitsIn(machine.free)
             Room.COMING -> machine.isReady && machine.isGettingRoom && need.fitsIn(machine.free + machine.coming)
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -43,7 +43,7 @@
         val calm = unplaced == 0 && stops.isEmpty()
         for (job in Ranking.order(reserves, snapshot.horizonS, snapshot.postponeFactor)) reserve(job)
         val move = if (calm && snapshot.mayMove) Consolidation.choose(machines, reserved, snapshot) else null
-        return Plan(starts, stops, targets, rentals, reserved, unplaced, move)
+        return Plan(starts, stops, targets, rentals, reserved, unplaced, offers.priced + stopping.asked, move)
     }
 
     /** How far the tasks of one job have been placed. */
--- a/src/main/kotlin/oxbowlug/plan/Preemption.kt
+++ b/src/main/kotlin/oxbowlug/plan/Preemption.kt
@@ -66,7 +66,9 @@
 class Stops(private val machines: List<PlanMachine>, private val snapshot: Snapshot) {
     private class Asked(val choice: Preemption.Choice?, val atChange: Int)
 
-    private val asked = ArrayList<Asked>()
+    private val answers = ArrayList<Asked>()
+    var asked = 0
+        private set
     private lateinit var job: PlanJob
     private lateinit var need: Amounts
     private var guaranteed = false
@@ -74,19 +76,19 @@
     fun begin(next: PlanJob, nextNeed: Amounts) {
         job = next
         need = nextNeed
-        asked.clear()
+        answers.clear()
     }
 
     fun cheapest(team: PlanTeam, rule: ZoneRule): Preemption.Choice? {
         val nowGuaranteed = team.guarantees(need)
-        if (nowGuaranteed != guaranteed) asked.clear()
+        if (nowGuaranteed != guaranteed) answers.clear()
         guaranteed = nowGuaranteed
         while (true) {
             val index = cheapestKnown(rule)
             if (index < 0) return null
-            val known = asked[index].choice
+            val known = answers[index].choice
             val fresh = ask(index)
-            asked[index] = fresh
+            answers[index] = fresh
             if (fresh.choice != null && known != null && fresh.choice.cost <= known.cost) return fresh.choice
         }
     }
@@ -95,12 +97,12 @@
         var best = -1
         var bestCost = Double.POSITIVE_INFINITY
         for (index in machines.indices) {
-            if (index == asked.size) {
-                asked.add(ask(index))
-            } else if (asked[index].atChange != machines[index].changes) {
-                asked[index] = ask(index)
+            if (index == answers.size) {
+                answers.add(ask(index))
+            } else if (answers[index].atChange != machines[index].changes) {
+                answers[index] = ask(index)
             }
-            val choice = asked[index].choice ?: continue
+            val choice = answers[index].choice ?: continue
             if (choice.cost < bestCost && rule.allows(choice.machine.zone)) {
                 best = index
                 bestCost = choice.cost
@@ -110,6 +112,7 @@
     }
 
     private fun ask(index: Int): Asked {
+        asked++
         val machine = machines[index]
         return Asked(Preemption.victims(job, need, guaranteed, machine, snapshot), machine.changes)
     }
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -233,5 +233,7 @@
     /** Machines, ready or not, on which this plan relies for tasks that can't start yet. */
     val reserved: Set<MachineId>,
     val unplaced: Int,
+    /** How many machines were priced for it: the measure of its work. */
+    val priced: Int,
     val move: Consolidation.Move? = null,
 )
--- a/src/test/kotlin/oxbowlug/sim/GrownFleetTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/GrownFleetTest.kt
@@ -12,7 +12,7 @@
         val shape = Shape(
             nodes = 5,
             machinesUp = 110,
-            capacity = 200,
+            capacity = MACHINES,
             teamLimits = mapOf("red" to 800.0, "blue" to 600.0),
             teamGuarantee = 300.0,
             writeRps = 20.0,
@@ -34,5 +34,22 @@
         assertEquals(emptyList<String>(), day.rules.broken.take(5))
         assertTrue(day.rules.starts > 500, "only ${day.rules.starts} starts")
         assertEquals(emptyList<String>(), day.rules.unfinished().take(5))
+        assertBounded(day)
+    }
+
+    /** Counted work, never the clock: the bounds catch costs that grow with the fleet, and work done in turn. */
+    private fun assertBounded(day: Simulation) {
+        val jobs = day.rules.jobs.values
+        val tasks = jobs.sumOf { it.spec.tasks }
+        val plans = day.nodes.sumOf { it.plans }
+        val priced = day.nodes.sumOf { it.priced }
+        assertTrue(day.rules.starts <= tasks * 1.2, "${day.rules.starts} starts for $tasks tasks")
+        assertTrue(priced <= plans * MACHINES * 12, "$priced machines priced in $plans plans")
+        assertTrue(day.store.writes <= jobs.size * 8, "${day.store.writes} writes for ${jobs.size} jobs")
+        assertTrue(day.cloud.rentalCalls <= MACHINES / 2, "${day.cloud.rentalCalls} rentals")
+    }
+
+    private companion object {
+        const val MACHINES = 200
     }
 }
--- a/src/test/kotlin/oxbowlug/sim/SimCloud.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimCloud.kt
@@ -26,6 +26,8 @@
     private val lists = ArrayDeque<Pair<Long, List<ListedMachine>>>()
     private var next = 0
     var down = false
+    var rentalCalls = 0
+        private set
 
     init {
         world.every(250) {
@@ -37,6 +39,7 @@
     val workers: List<SimWorker> get() = machines.values.map { it.worker }
 
     fun rent(request: RentalRequest): RentalOutcome {
+        rentalCalls++
         answers[request.name]?.let { return RentalOutcome.Rented(it) }
         val type = types.first { it.name == request.type }
         val count = minOf(request.count, capacity - machines.size)
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -46,6 +46,12 @@
     val label: String get() = settings.label
     val isUp: Boolean get() = core != null
 
+    /** Counted over all its lives. */
+    var plans = 0L
+        private set
+    var priced = 0L
+        private set
+
     /** Cut from the state service alone. */
     var withoutState = false
 
@@ -63,7 +69,7 @@
         val random = Random(world.random.nextLong())
         val self = Member(label, "life$life-${random.nextInt(1_000_000)}")
         lateinit var started: Core
-        started = Core(settings, self, ports, ports, ports, clock, NoMeters, random) {
+        started = Core(settings, self, ports, ports, ports, clock, Counting(), random) {
             if (!draining) {
                 draining = true
                 world.after(0) {
@@ -216,8 +222,11 @@
         }
     }
 
-    private object NoMeters : Meters {
-        override fun planned(nanos: Long) = Unit
+    private inner class Counting : Meters {
+        override fun planned(nanos: Long, priced: Int) {
+            plans++
+            this@SimNode.priced += priced
+        }
 
         override fun stepped(nanos: Long) = Unit
 
--- a/src/test/kotlin/oxbowlug/sim/SimStore.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimStore.kt
@@ -39,11 +39,16 @@
         world.every(50) { if (!down) expireLeases() }
     }
 
+    /** Changes asked for, in vain or not. */
+    var writes = 0L
+        private set
+
     fun entry(key: String): Entry? = entries[key]
 
     fun keys(prefix: String): List<String> = entries.keys.filter { it.startsWith(prefix) }
 
     fun commit(transaction: Transaction): CommitOutcome {
+        writes += transaction.changes.size
         val failed = transaction.conditions.filter { (entries[it.key]?.version ?: 0L) != it.version }.map { it.key }
         if (failed.isNotEmpty()) return CommitOutcome.Conflict(failed)
         for (change in transaction.changes) {
