Give a silent machine back at once when its replicas are worth more than a boot

It is asked for after 0.4 of a lease of silence, if what the replicas lose until the lease's end outweighs another machine's boot (the design's bound for moves), not where the kind was refused of late, and not when more than a tenth of the fleet is silent (a cut).

Ruled out: stopping them directly (a hung machine answers nobody), starting elsewhere at once (no proof).

--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -4,6 +4,7 @@
 import oxbowlug.config.Settings
 import oxbowlug.plan.Plan
 import oxbowlug.plan.Planner
+import oxbowlug.plan.Pricing
 import oxbowlug.plan.Snapshot
 import oxbowlug.wire.ImageName
 import oxbowlug.wire.MachineId
@@ -128,10 +129,28 @@
         val lastHeard = host.heardAt ?: maxOf(startedAt, host.knownSince)
         val expected = host.heardAt != null || host.listed == MachineState.RUNNING
         if (expected && now - lastHeard > silentMs && mostAreHeard(now)) rentals.scheduleReturn(host, "silent")
+        if (isWorthGivingUp(host, now, types)) rentals.scheduleReturn(host, "silent, and its work is worth more")
         if (host.quarantined && host.live.isEmpty()) rentals.scheduleReturn(host, "fails its tasks")
         returnIdle(host, now, types)
     }
 
+    /**
+     * A silent machine's replicas can go elsewhere once its lease is over, or at once if it is given back. That costs
+     * another machine's boot, so it must save more than that; and when many are silent at a time, it is a cut.
+     */
+    private fun isWorthGivingUp(host: Machine, now: Long, types: Map<TypeName, MachineType>): Boolean {
+        if (!isSuspect(host, now) || host.lost || rentals.isScarce(host, now)) return false
+        val answeredAt = host.answeredAt ?: return false
+        val type = types[host.type] ?: return false
+        val leftS = (timing.workerExpiryMs - (now - answeredAt)) / 1000.0
+        if (!Pricing.isWorthGivingUp(planning.replicaWeight(host), leftS, type, host.spot, types.values)) return false
+        val known = fleet.machines.values.filter { it.heardAt != null && !it.returning }
+        return known.count { isSuspect(it, now) } <= maxOf(1, known.size / SUSPECTS)
+    }
+
+    private fun isSuspect(host: Machine, now: Long): Boolean =
+        host.heardAt?.let { now - it > timing.suspectMs } ?: false
+
     /** If most machines are silent, the trouble is ours, and returning them would make it worse. */
     private fun mostAreHeard(now: Long): Boolean {
         val expected = fleet.machines.values.count { it.heardAt != null || it.listed == MachineState.RUNNING }
@@ -197,6 +216,9 @@
         /** A plan is followed by a pause of this many times its length less one. */
         const val PLAN_RESTS = 5
         const val SCARCE_PATIENCE = 3
+
+        /** One machine in so many may be given up as silent at a time. */
+        const val SUSPECTS = 10
         val log = LoggerFactory.getLogger("leader")
     }
 }
--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -227,6 +227,11 @@
         }
     }
 
+    /** What the replicas on a machine weigh together, for each second that they are down. */
+    fun replicaWeight(host: Machine): Double =
+        host.live.values.filter { it.isWanted && it.job.spec.kind == JobKind.SERVICE }
+            .sumOf { weights.of(it.job.spec.className) }
+
     fun apply(plan: Plan) {
         val touched = LinkedHashSet<Job>()
         for (start in plan.starts) {
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -30,6 +30,12 @@
     /** A machine that missed this many reports is not given new work. */
     val quietMs: Long = (reportMs * 2.5).toLong()
 
+    /** A machine that missed this many reports is likely to hang or to be dead. */
+    val suspectMs: Long = (workerLeaseMs * 0.4).toLong()
+
+    /** How long a report waits for a leader to be known: as long as its worker would before it tries elsewhere. */
+    val reportWaitMs: Long = minOf(reportMs, workerLeaseMs * 0.1).toLong()
+
     /** Early enough for a successor to answer before the workers' leases are over. */
     val workersLostMs: Long = (workerLeaseMs * 0.35).toLong()
     val cancelMs: Long = (settings.workers.cancelS * 1000.0).toLong()
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -383,8 +383,18 @@
     /** The weight is in prices: a second late costs [PlanJob.weight] times the dearest machine's second. */
     private fun omega(job: PlanJob, snapshot: Snapshot): Double = omega(job.weight, snapshot)
 
-    fun omega(weight: Double, snapshot: Snapshot): Double =
-        weight * (snapshot.types.maxOfOrNull { it.price } ?: 0.0) / HOUR_S
+    fun omega(weight: Double, snapshot: Snapshot): Double = weight * omega(snapshot.types)
+
+    fun omega(types: Collection<MachineType>): Double = (types.maxOfOrNull { it.price } ?: 0.0) / HOUR_S
+
+    /** Whether replicas of [weight] that are down for [downS] more cost more than another machine's boot. */
+    fun isWorthGivingUp(
+        weight: Double,
+        downS: Double,
+        type: MachineType,
+        spot: Boolean,
+        types: Collection<MachineType>,
+    ): Boolean = weight * omega(types) * downS > type.price(spot) / HOUR_S * type.bootS
 
     /** Even an early start is worth something: it frees the machine earlier. */
     private const val EAGERNESS = 0.05
--- a/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
@@ -260,4 +260,21 @@
         val old = machine("m2", tenants = listOf(tenant(spec("run-9"), ranS = 5.0)), images = image)
         assertEquals(null, plan(snapshot(emptyList(), listOf(young, old), mayMove = true)).move)
     }
+
+    @Test
+    fun `a silent machine is given up only for more than another one's boot`() {
+        // Found on the bench: replicas of hung machines stayed down until the machines' leases were over.
+        class Case(val weight: Double, val downS: Double, val type: MachineType, val worth: Boolean)
+        val cases = listOf(
+            Case(weight = 4.0, downS = 6.0, type = g8, worth = false),
+            Case(weight = 20.0, downS = 6.0, type = g8, worth = true),
+            Case(weight = 4.0, downS = 6.0, type = c32, worth = true),
+            Case(weight = 0.0, downS = 6.0, type = c32, worth = false),
+            Case(weight = 100.0, downS = -1.0, type = g8, worth = false),
+        )
+        for (case in cases) {
+            val worth = Pricing.isWorthGivingUp(case.weight, case.downS, case.type, spot = false, listOf(g8, c32))
+            assertEquals(case.worth, worth, "${case.weight} for ${case.downS} s on ${case.type.name}")
+        }
+    }
 }
