Spot work leaves ordinary room that can't be had again to those who need it

Work that may use spot machines now pays the refusal's penalty also for free room of a kind that refused, and takes a spot machine, coming or rented, if that costs less with its tardiness. What a guarantee covers doesn't wait.

Ruled out: too small a reserve (there was no room to hold), the plan's order (replicas do go first, but by stops).

--- a/src/main/kotlin/oxbowlug/plan/Offers.kt
+++ b/src/main/kotlin/oxbowlug/plan/Offers.kt
@@ -5,7 +5,14 @@
 import oxbowlug.wire.Zone
 
 /** What one more task would cost at its cheapest place. */
-class Offer(val machine: PlanMachine, val cost: Double, val delayS: Double, val strands: Boolean)
+class Offer(
+    val machine: PlanMachine,
+    val cost: Double,
+    val delayS: Double,
+    val strands: Boolean,
+    /** Others need this room and can't rent more of it, while the job has another choice. */
+    val isScarce: Boolean,
+)
 
 /** Which room of a machine is meant. */
 enum class Room {
@@ -65,7 +72,8 @@
         }
         if (best < 0) return null
         val machine = machines[best]
-        return Offer(machine, bestCost, delayS(machine, room), strandCost(machine) > 0.0)
+        val isScarce = scarcity(machine) > SCARCE
+        return Offer(machine, bestCost, delayS(machine, room), strandCost(machine) > 0.0, isScarce)
     }
 
     private fun update(column: Prices) {
@@ -104,7 +112,8 @@
         }
         if (!fits || !Constraints.allow(job, machine)) return Double.POSITIVE_INFINITY
         val price = machine.type.price(machine.spot)
-        return Pricing.cost(job, need, machine.type, price, delayS(machine, room), snapshot) +
+        val paid = price * (1.0 + scarcity(machine))
+        return Pricing.cost(job, need, machine.type, paid, delayS(machine, room), snapshot) +
             Pricing.idleCost(machine.type, price, machine.free - need, snapshot) + strandCost(machine)
     }
 
@@ -114,7 +123,16 @@
     private fun strandCost(machine: PlanMachine): Double =
         Pricing.strandCost(machine.type, machine.type.price(machine.spot), machine.free, need, snapshot)
 
+    /** Spot work pays the refusal's penalty for ordinary room of a kind that refuses, as for a rental. */
+    private fun scarcity(machine: PlanMachine): Double {
+        if (machine.spot || !job.spec.spot) return 0.0
+        return snapshot.refusals[Kind(machine.type.name, machine.zone, spot = false)]?.penalty ?: 0.0
+    }
+
     private companion object {
+        /** Refusals longer ago than some half-lives of their price don't count any more. */
+        const val SCARCE = 0.1
+
         /** Room that is coming free is there after about a report and a plan. */
         const val COMING_S = 2.0
     }
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -95,7 +95,7 @@
             // A team at its limit waits for its own work to end; nobody else's is stopped for it.
             if (!placing.team.hasRoomFor(need)) return
             if (guaranteedOnly && !placing.team.guarantees(need)) return
-            if (!placeTask(placing)) {
+            if (!placeTask(placing, guaranteedOnly)) {
                 // The tasks of a job are alike: where one doesn't fit, no other does.
                 unplaced += placing.left
                 placing.isStuck = true
@@ -105,24 +105,26 @@
         }
     }
 
-    private fun placeTask(placing: Placing): Boolean {
+    private fun placeTask(placing: Placing, guaranteed: Boolean): Boolean {
         val job = placing.job
         val need = placing.need
         val zones = placing.zones
         val ready = offers.cheapest(Room.READY, zones)
-        if (ready != null && ready.delayS <= 0.0 && !ready.strands) {
+        val yields = ready != null && ready.isScarce && !guaranteed
+        if (ready != null && ready.delayS <= 0.0 && !ready.strands && !yields) {
             return start(ready.machine, placing)
         }
         // Cores beside idle GPUs are left alone if a machine without GPUs will be up in a moment.
-        val soon = if (ready != null && ready.strands) {
-            offers.cheapest(Room.BOOTING, zones)
-        } else {
-            null
+        val soon = when {
+            ready == null -> null
+            ready.strands -> offers.cheapest(Room.BOOTING, zones)?.takeIf { it.cost < ready.cost }?.machine
+            yields -> spotInsteadOf(ready, placing)
+            else -> null
         }
-        if (ready != null && soon != null && soon.cost < ready.cost) {
-            soon.machine.take(need)
-            soon.machine.id?.let(reserved::add)
-            settle(soon.machine.zone, placing)
+        if (soon != null) {
+            soon.take(need)
+            soon.id?.let(reserved::add)
+            settle(soon.zone, placing)
             return true
         }
         // A place that isn't free yet is taken only for an earlier start: where the image is, for one.
@@ -191,6 +193,15 @@
         return choice.machine
     }
 
+    /** Ordinary room that can't be had again is left to work that can't use spot machines, if one of them costs less. */
+    private fun spotInsteadOf(scarce: Offer, placing: Placing): PlanMachine? {
+        val booting = offers.cheapest(Room.BOOTING, placing.zones)
+        if (booting != null && booting.machine.spot && booting.cost < scarce.cost) return booting.machine
+        if (!snapshot.mayRent) return null
+        val rental = cheapestRental(placing.job, placing.need, placing.zones, placing.left) ?: return null
+        return if (rental.kind.spot && rental.cost < scarce.cost) rent(rental) else null
+    }
+
     private fun bootingOrRented(job: PlanJob, need: Amounts, zones: ZoneRule, left: Int): PlanMachine? {
         val booting = offers.cheapest(Room.BOOTING, zones)
         val rental = if (snapshot.mayRent) cheapestRental(job, need, zones, left) else null
@@ -198,6 +209,10 @@
         // A machine that is coming anyway is filled first, unless another kind is worth one more boot.
         val boot = rental.type.price(rental.kind.spot) / Pricing.HOUR_S * rental.type.bootS
         if (booting != null && booting.cost <= rental.cost + boot) return booting.machine
+        return rent(rental)
+    }
+
+    private fun rent(rental: RentalOffer): PlanMachine {
         rentals.merge(rental.kind, 1, Int::plus)
         val kind = rental.kind
         val machine = PlanMachine.ordered(rental.type, kind.zone, kind.spot, rental.type.bootS.coerceAtLeast(1.0))
--- a/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
@@ -277,4 +277,23 @@
             assertEquals(case.worth, worth, "${case.weight} for ${case.downS} s on ${case.type.name}")
         }
     }
+
+    @Test
+    fun `spot work leaves ordinary room that can't be had again to those who need it`() {
+        // Found on the bench: all ordinary machines were rented, arrays filled them, and replicas waited for stops while
+        // spot machines could be had.
+        val array = spec("run-1", JobKind.ARRAY, Priority.NORMAL, tasks = 8).copy(spot = true, estimateS = 100.0)
+        val refused = listOf(a, b).associate { Kind(g8.name, it, false) to Refusal(blocked = true, penalty = 1.0) }
+        val host = machine("m1")
+        val yielding = plan(snapshot(listOf(job(array, 300.0)), listOf(host), refusals = refused))
+        assertEquals(1, yielding.rentals.entries.single { it.key.spot }.value)
+        assertEquals(emptyList<Start>(), yielding.starts)
+        val late = plan(snapshot(listOf(job(array, 100.0)), listOf(machine("m1")), refusals = refused))
+        assertEquals(8, late.starts.size, "a boot would make it late")
+        val plenty = plan(snapshot(listOf(job(array, 300.0)), listOf(machine("m1"))))
+        assertEquals(8, plenty.starts.size, "ordinary machines can be had")
+        val guaranteed = teams(red = PlanTeam(1e9, 1e9, 0.0, 8.0))
+        val own = plan(snapshot(listOf(job(array, 300.0)), listOf(machine("m1")), guaranteed, refused))
+        assertEquals(8, own.starts.size, "what a guarantee covers doesn't wait")
+    }
 }
