Work within a guarantee awaits its start; brief work doesn't yield scarce room

A spot machine's lower price outweighed a fetch of 25 s for work within a guarantee, whose start within 20 s the platform awaits; and arrays of 50 s waited 85 s for a spot machine, when the room they spared would have been free again before. Such work now pays for the seconds until it starts, by the guarantee's objective, and pays no penalty for scarce room; other work yields only if a spot machine can start it within its own run time.

--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -64,6 +64,7 @@
             besideGpu = besideGpu(),
             settledS = timing.settledS,
             mayMove = mayMove,
+            guaranteeWeight = weights.guarantee,
         )
     }
 
@@ -279,12 +280,17 @@
 class ClassWeights(settings: Settings) {
     private val weights = HashMap<ClassName, Double>()
 
+    /** Of work that a guarantee covers, whatever its class. */
+    var guarantee = 0.0
+        private set
+
     init {
         for (objective in settings.objectives) {
             when (objective) {
                 is Objective.Wait ->
                     weights[objective.className] = maxOf(1.0, settings.policy.replanS / objective.withinS)
-                is Objective.Deadline, is Objective.Guarantee -> Unit
+                is Objective.Guarantee -> guarantee = maxOf(1.0, settings.policy.replanS / objective.withinS)
+                is Objective.Deadline -> Unit
             }
         }
         weights.putAll(settings.policy.classWeights)
--- a/src/main/kotlin/oxbowlug/plan/Offers.kt
+++ b/src/main/kotlin/oxbowlug/plan/Offers.kt
@@ -47,10 +47,15 @@
         private set
     private lateinit var job: PlanJob
     private lateinit var need: Amounts
+    private var yields = false
+    private var startWeight = 0.0
 
-    fun begin(next: PlanJob, nextNeed: Amounts) {
+    /** What a guarantee covers doesn't spare scarce room for others, and its start is awaited. */
+    fun begin(next: PlanJob, nextNeed: Amounts, guaranteed: Boolean) {
         job = next
         need = nextNeed
+        yields = !guaranteed && next.spec.spot
+        startWeight = Pricing.startWeight(next, guaranteed, snapshot)
         for (column in prices) {
             column.cost.clear()
             column.pricedAt.clear()
@@ -113,7 +118,7 @@
         if (!fits || !Constraints.allow(job, machine)) return Double.POSITIVE_INFINITY
         val price = machine.type.price(machine.spot)
         val paid = price * (1.0 + scarcity(machine))
-        return Pricing.cost(job, need, machine.type, paid, delayS(machine, room), snapshot) +
+        return Pricing.cost(job, need, machine.type, paid, delayS(machine, room), startWeight, snapshot) +
             Pricing.idleCost(machine.type, price, machine.free - need, snapshot) + strandCost(machine)
     }
 
@@ -125,7 +130,7 @@
 
     /** Spot work pays the refusal's penalty for ordinary room of a kind that refuses, as for a rental. */
     private fun scarcity(machine: PlanMachine): Double {
-        if (machine.spot || !job.spec.spot) return 0.0
+        if (machine.spot || !yields) return 0.0
         return snapshot.refusals[Kind(machine.type.name, machine.zone, spot = false)]?.penalty ?: 0.0
     }
 
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -24,6 +24,9 @@
     private val reserved = LinkedHashSet<MachineId>()
     private var unplaced = 0
 
+    /** Of the job that is being placed. */
+    private var startWeight = 0.0
+
     init {
         for (machine in machines) machinesInZone.merge(machine.zone, 1, Int::plus)
     }
@@ -72,7 +75,8 @@
     private fun reserve(job: PlanJob) {
         val need = job.spec.amounts()
         val zones = ZoneRule(job)
-        offers.begin(job, need)
+        startWeight = 0.0
+        offers.begin(job, need, guaranteed = false)
         for (index in job.pending.indices) {
             val ready = offers.cheapest(Room.READY, zones)
             val host = ready?.machine ?: bootingOrRented(job, need, zones, job.pending.size - index) ?: return
@@ -86,8 +90,9 @@
         val job = placing.job
         val need = placing.need
         if (placing.left == 0 || placing.isStuck) return
-        offers.begin(job, need)
-        stopping.begin(job, need)
+        startWeight = Pricing.startWeight(job, guaranteedOnly, snapshot)
+        offers.begin(job, need, guaranteedOnly)
+        stopping.begin(job, need, guaranteedOnly)
         if (job.spec.oneZone && placing.zones.fixed == null) {
             placing.zones.fixed = job.spec.zone ?: roomiestZone(job, need)
         }
@@ -95,7 +100,7 @@
             // A team at its limit waits for its own work to end; nobody else's is stopped for it.
             if (!placing.team.hasRoomFor(need)) return
             if (guaranteedOnly && !placing.team.guarantees(need)) return
-            if (!placeTask(placing, guaranteedOnly)) {
+            if (!placeTask(placing)) {
                 // The tasks of a job are alike: where one doesn't fit, no other does.
                 unplaced += placing.left
                 placing.isStuck = true
@@ -105,20 +110,19 @@
         }
     }
 
-    private fun placeTask(placing: Placing, guaranteed: Boolean): Boolean {
+    private fun placeTask(placing: Placing): Boolean {
         val job = placing.job
         val need = placing.need
         val zones = placing.zones
         val ready = offers.cheapest(Room.READY, zones)
-        val yields = ready != null && ready.isScarce && !guaranteed
-        if (ready != null && ready.delayS <= 0.0 && !ready.strands && !yields) {
+        if (ready != null && ready.delayS <= 0.0 && !ready.strands && !ready.isScarce) {
             return start(ready.machine, placing)
         }
         // Cores beside idle GPUs are left alone if a machine without GPUs will be up in a moment.
         val soon = when {
             ready == null -> null
             ready.strands -> offers.cheapest(Room.BOOTING, zones)?.takeIf { it.cost < ready.cost }?.machine
-            yields -> spotInsteadOf(ready, placing)
+            ready.isScarce -> spotInsteadOf(ready, placing)
             else -> null
         }
         if (soon != null) {
@@ -193,13 +197,19 @@
         return choice.machine
     }
 
-    /** Ordinary room that can't be had again is left to work that can't use spot machines, if one of them costs less. */
+    /**
+     * Ordinary room that can't be had again is left to work that can't use spot machines, if one of them costs less and
+     * starts sooner than the job would end here: shorter work is out of the way before that.
+     */
     private fun spotInsteadOf(scarce: Offer, placing: Placing): PlanMachine? {
+        val job = placing.job
         val booting = offers.cheapest(Room.BOOTING, placing.zones)
-        if (booting != null && booting.machine.spot && booting.cost < scarce.cost) return booting.machine
+        val isBetter = booting != null && booting.cost < scarce.cost && booting.delayS < job.estimateS
+        if (booting != null && isBetter && booting.machine.spot) return booting.machine
         if (!snapshot.mayRent) return null
-        val rental = cheapestRental(placing.job, placing.need, placing.zones, placing.left) ?: return null
-        return if (rental.kind.spot && rental.cost < scarce.cost) rent(rental) else null
+        val rental = cheapestRental(job, placing.need, placing.zones, placing.left) ?: return null
+        val startsInS = rental.type.bootS + rental.type.fetchS(job.spec)
+        return if (rental.kind.spot && rental.cost < scarce.cost && startsInS < job.estimateS) rent(rental) else null
     }
 
     private fun bootingOrRented(job: PlanJob, need: Amounts, zones: ZoneRule, left: Int): PlanMachine? {
@@ -259,7 +269,7 @@
         zones: ZoneRule,
         left: Int,
     ): Double {
-        val fetchS = if (type.fetchGbPerS > 0.0) job.spec.imageGb / type.fetchGbPerS else 0.0
+        val fetchS = type.fetchS(job.spec)
         val perMachine = (1.0 / type.share(need).coerceAtLeast(1e-9)).toInt().coerceAtLeast(1)
         val filled = minOf(left, perMachine)
         val leftover = Amounts(
@@ -271,7 +281,7 @@
         // Between equal offers the zone with fewer machines is taken, so that one zone's loss costs less.
         val crowd = 1.0 + (machinesInZone[zone] ?: 0) * CROWDING + zones.used(zone) * CROWDING
         return (
-            Pricing.cost(job, need, type, price, type.bootS + fetchS, snapshot) +
+            Pricing.cost(job, need, type, price, type.bootS + fetchS, startWeight, snapshot) +
                 Pricing.idleCost(type, price, leftover, snapshot) * (type.bootS + Pricing.serviceS(snapshot)) +
                 Pricing.strandCost(type, price, type.amounts(), need, snapshot)
         ) * crowd
@@ -359,15 +369,20 @@
         type: MachineType,
         price: Double,
         delayS: Double,
+        startWeight: Double,
         snapshot: Snapshot,
     ): Double {
         val runS = if (job.spec.kind == JobKind.SERVICE) serviceS(snapshot) else job.estimateS
         val deadline = job.deadlineInS ?: (2.0 * job.estimateS)
         val tardiness = maxOf(0.0, delayS + job.estimateS - deadline)
         val rent = type.share(need) * price / HOUR_S * runS
-        return rent + omega(job, snapshot) * (tardiness + delayS * EAGERNESS)
+        return rent + omega(job, snapshot) * (tardiness + delayS * EAGERNESS) + omega(startWeight, snapshot) * delayS
     }
 
+    /** Where the platform awaits starts within guarantees, a late one counts beside the job's own deadline. */
+    fun startWeight(job: PlanJob, guaranteed: Boolean, snapshot: Snapshot): Double =
+        if (guaranteed && job.spec.kind != JobKind.SERVICE) snapshot.guaranteeWeight else 0.0
+
     /** Nobody says how long a service will run; it is priced as if it stayed for some horizons. */
     fun serviceS(snapshot: Snapshot): Double = snapshot.horizonS * SERVICE_HORIZONS
 
--- a/src/main/kotlin/oxbowlug/plan/Preemption.kt
+++ b/src/main/kotlin/oxbowlug/plan/Preemption.kt
@@ -14,6 +14,7 @@
         job: PlanJob,
         need: Amounts,
         guaranteed: Boolean,
+        startWeight: Double,
         machine: PlanMachine,
         snapshot: Snapshot,
     ): Choice? {
@@ -38,7 +39,7 @@
             Pricing.omega(victim.weight, snapshot) * (victim.saveS + victim.lossS + victim.restartS)
         }
         // Priced like free room is: else stopping a GPU's task would look cheaper than the free cores beside it.
-        val cost = Pricing.cost(job, need, machine.type, price, delayS, snapshot) +
+        val cost = Pricing.cost(job, need, machine.type, price, delayS, startWeight, snapshot) +
             Pricing.idleCost(machine.type, price, room - need, snapshot) +
             Pricing.strandCost(machine.type, price, room, need, snapshot)
         return Choice(machine, chosen, cost + losses)
@@ -72,9 +73,11 @@
     private lateinit var job: PlanJob
     private lateinit var need: Amounts
     private var guaranteed = false
+    private var startWeight = 0.0
 
-    fun begin(next: PlanJob, nextNeed: Amounts) {
+    fun begin(next: PlanJob, nextNeed: Amounts, guaranteedOnly: Boolean) {
         job = next
+        startWeight = Pricing.startWeight(next, guaranteedOnly, snapshot)
         need = nextNeed
         answers.clear()
     }
@@ -114,6 +117,6 @@
     private fun ask(index: Int): Asked {
         asked++
         val machine = machines[index]
-        return Asked(Preemption.victims(job, need, guaranteed, machine, snapshot), machine.changes)
+        return Asked(Preemption.victims(job, need, guaranteed, startWeight, machine, snapshot), machine.changes)
     }
 }
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -33,6 +33,9 @@
 
 fun MachineType.amounts() = Amounts(cores, gpus, memoryGb)
 
+/** How long a machine of this type that does nothing else takes to fetch the job's image. */
+fun MachineType.fetchS(spec: JobSpec): Double = if (fetchGbPerS > 0.0) spec.imageGb / fetchGbPerS else 0.0
+
 /** The part of a whole machine that [need] takes: its scarcest resource decides. */
 fun MachineType.share(need: Amounts): Double {
     var share = if (cores > 0.0) need.cores / cores else 0.0
@@ -218,6 +221,8 @@
     /** A task that was started less than this long ago is not moved: its start would not count. */
     val settledS: Double = 30.0,
     val mayMove: Boolean = false,
+    /** The weight of a second's wait of work that a guarantee covers; 0 where the platform has no such objective. */
+    val guaranteeWeight: Double = 0.0,
 )
 
 class Refusal(val blocked: Boolean, val penalty: Double)
--- a/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
@@ -68,9 +68,10 @@
         teams: Map<TeamName, PlanTeam> = teams(),
         refusals: Map<Kind, Refusal> = emptyMap(),
         mayMove: Boolean = false,
+        guaranteeWeight: Double = 0.0,
     ) = Snapshot(
         jobs, machines, teams, listOf(g8, c32), refusals, 30.0, 100.0, 1.0, mayRent = true,
-        besideGpu = Amounts(5.5, 0.0, 18.0), mayMove = mayMove,
+        besideGpu = Amounts(5.5, 0.0, 18.0), mayMove = mayMove, guaranteeWeight = guaranteeWeight,
     )
 
     private fun plan(snapshot: Snapshot) = Planner(snapshot).plan()
@@ -290,10 +291,20 @@
         assertEquals(emptyList<Start>(), yielding.starts)
         val late = plan(snapshot(listOf(job(array, 100.0)), listOf(machine("m1")), refusals = refused))
         assertEquals(8, late.starts.size, "a boot would make it late")
+        val short = job(array.copy(estimateS = 20.0), 300.0)
+        val brief = plan(snapshot(listOf(short), listOf(machine("m1")), refusals = refused))
+        assertEquals(8, brief.starts.size, "it ends before a spot machine is up")
         val plenty = plan(snapshot(listOf(job(array, 300.0)), listOf(machine("m1"))))
         assertEquals(8, plenty.starts.size, "ordinary machines can be had")
-        val guaranteed = teams(red = PlanTeam(1e9, 1e9, 0.0, 8.0))
-        val own = plan(snapshot(listOf(job(array, 300.0)), listOf(machine("m1")), guaranteed, refused))
+
+        fun guaranteed() = teams(red = PlanTeam(1e9, 1e9, 0.0, 8.0))
+        val own = plan(snapshot(listOf(job(array, 300.0)), listOf(machine("m1")), guaranteed(), refused))
         assertEquals(8, own.starts.size, "what a guarantee covers doesn't wait")
+        // Nor for a fetch: the spot machine's price made work within a guarantee start late, beside free room.
+        val beside = machine("m1", images = setOf(ImageName("img")))
+        val spot = machine("m2", spot = true)
+        val large = job(array.copy(imageGb = 40.0), 300.0)
+        val near = plan(snapshot(listOf(large), listOf(beside, spot), guaranteed(), refused, false, 1.5))
+        assertEquals(setOf(MachineId("m1")), near.starts.map { it.machine }.toSet())
     }
 }
