A replica's stop costs two fetches of its image

A stop was priced at half a fetch and the age of the replica, so young ones were cheap. A replica is now priced at two fetches beside its age, tasks of arrays as before.

--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -10,6 +10,7 @@
 import oxbowlug.plan.Snapshot
 import oxbowlug.plan.Tenant
 import oxbowlug.plan.amounts
+import oxbowlug.plan.fetchS
 import oxbowlug.wire.ClassName
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobKind
@@ -208,7 +209,7 @@
             spec = spec,
             zoneUse = zoneUses.of(placed.job),
             ranS = ranS,
-            restartS = spec.imageGb / type.fetchGbPerS.coerceAtLeast(1e-9) * RESTART_FETCHES,
+            fetchS = type.fetchS(spec),
             weight = weights.of(spec.className),
             stopping = !placed.isWanted,
         )
@@ -259,9 +260,7 @@
     private companion object {
         const val MAX_TASKS_PER_ROUND = 512
         const val SOON_S = 1.0
-
-        /** A stopped task fetches its image again on about every other machine that it may go to. */
-        const val RESTART_FETCHES = 0.5
+        const val SPARE = 2.0
     }
 }
 
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -3,6 +3,7 @@
 import oxbowlug.wire.Attempt
 import oxbowlug.wire.ImageName
 import oxbowlug.wire.JobId
+import oxbowlug.wire.JobKind
 import oxbowlug.wire.JobSpec
 import oxbowlug.wire.MachineId
 import oxbowlug.wire.MachineType
@@ -55,8 +56,8 @@
     val zoneUse: Map<Zone, Int>,
     /** How long it has run; 0 while it waits for its image. */
     val ranS: Double,
-    /** Time until it runs again elsewhere. */
-    val restartS: Double,
+    /** How long its image takes to fetch. */
+    private val fetchS: Double,
     val weight: Double,
     /** On its way out: its room comes free by itself. */
     val stopping: Boolean,
@@ -68,8 +69,19 @@
     /** Time to stop it with its work saved. */
     val saveS: Double get() = if (spec.savesWork) spec.saveS else 0.0
 
+    /**
+     * Time until it runs again elsewhere. On about every other machine that it may go to it has to fetch its image. A
+     * replica is missed meanwhile: priced at less, a young one was stopped for a start that saved only its own fetch.
+     */
+    val restartS: Double get() = fetchS * if (spec.kind == JobKind.SERVICE) REPLICA_FETCHES else TASK_FETCHES
+
     /** Work that stopping it would lose. */
     val lossS: Double get() = if (spec.savesWork) spec.saveS else ranS
+
+    private companion object {
+        const val TASK_FETCHES = 0.5
+        const val REPLICA_FETCHES = 2.0
+    }
 }
 
 class PlanMachine(
--- a/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
@@ -307,4 +307,19 @@
         val near = plan(snapshot(listOf(large), listOf(beside, spot), guaranteed(), refused, false, 1.5))
         assertEquals(setOf(MachineId("m1")), near.starts.map { it.machine }.toSet())
     }
+
+    @Test
+    fun `a replica is not stopped only to save another one's fetch`() {
+        // Found on the bench: on a quiet day a start beside its image stopped a young replica, which then fetched for
+        // longer than had been saved.
+        fun plan(kind: JobKind, priority: Priority): Plan {
+            val tenant = tenant(spec("run-9", kind, priority, gpus = 8.0, team = "blue"), ranS = 0.0)
+            val holder = machine("m1", images = setOf(ImageName("img")), tenants = listOf(tenant))
+            val red = PlanTeam(1e9, 1e9, 0.0, 8.0)
+            val blue = PlanTeam(1e9, 1e9, 0.0, 0.0).also { it.add(tenant.need) }
+            return plan(snapshot(listOf(job(spec())), listOf(holder, machine("m2")), teams(red, blue)))
+        }
+        assertEquals(emptyList<Attempt>(), plan(JobKind.SERVICE, Priority.PRODUCTION).stops)
+        assertEquals(1, plan(JobKind.ARRAY, Priority.NORMAL).stops.size, "a young task may be")
+    }
 }
