Give silent machines back also where none can be had, if there is room

A silent machine of such a kind is now given back if twice what all silent machines hold is free elsewhere; and a replica that is down counts five times a late start in that choice, since its users had it.

--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -136,16 +136,19 @@
 
     /**
      * A silent machine's replicas can go elsewhere once its lease is over, or at once if it is given back. That costs
-     * another machine's boot, so it must save more than that; and when many are silent at a time, it is a cut.
+     * another machine's boot, so it must save more than that; and when many are silent at a time, it is a cut. Where
+     * no other machine can be had, there must be room enough without it.
      */
     private fun isWorthGivingUp(host: Machine, now: Long, types: Map<TypeName, MachineType>): Boolean {
-        if (!isSuspect(host, now) || host.lost || rentals.isScarce(host, now)) return false
+        if (!isSuspect(host, now) || host.lost) return false
         val answeredAt = host.answeredAt ?: return false
         val type = types[host.type] ?: return false
         val leftS = (timing.workerExpiryMs - (now - answeredAt)) / 1000.0
         if (!Pricing.isWorthGivingUp(planning.replicaWeight(host), leftS, type, host.spot, types.values)) return false
         val known = fleet.machines.values.filter { it.heardAt != null && !it.returning }
-        return known.count { isSuspect(it, now) } <= maxOf(1, known.size / SUSPECTS)
+        val suspects = known.filter { isSuspect(it, now) }
+        if (suspects.size > maxOf(1, known.size / SUSPECTS)) return false
+        return !rentals.isScarce(host, now) || planning.hasRoomFor(suspects, types)
     }
 
     private fun isSuspect(host: Machine, now: Long): Boolean =
--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -234,6 +234,20 @@
         host.live.values.filter { it.isWanted && it.job.spec.kind == JobKind.SERVICE }
             .sumOf { weights.of(it.job.spec.className) }
 
+    /** Whether what these machines hold would fit elsewhere, with some to spare since room comes in pieces. */
+    fun hasRoomFor(hosts: List<Machine>, types: Map<TypeName, MachineType>): Boolean {
+        var need = Amounts.NONE
+        for (host in hosts) for (placed in host.live.values) if (placed.isWanted) need += placed.job.spec.amounts()
+        var free = Amounts.NONE
+        val now = clock.steadyMs()
+        for (host in fleet.machines.values) {
+            val type = types[host.type] ?: continue
+            val isReady = !host.returning && host.heardAt?.let { now - it <= timing.quietMs } ?: false
+            if (isReady && !host.spot) free += host.free(type, strangers(host))
+        }
+        return (need * SPARE).fitsIn(free)
+    }
+
     fun apply(plan: Plan) {
         val touched = LinkedHashSet<Job>()
         for (start in plan.starts) {
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -424,7 +424,10 @@
         type: MachineType,
         spot: Boolean,
         types: Collection<MachineType>,
-    ): Boolean = weight * omega(types) * downS > type.price(spot) / HOUR_S * type.bootS
+    ): Boolean = weight * USERS * omega(types) * downS > type.price(spot) / HOUR_S * type.bootS
+
+    /** Who has a replica misses it more than who still waits for one. */
+    private const val USERS = 5.0
 
     /** Even an early start is worth something: it frees the machine earlier. */
     private const val EAGERNESS = 0.05
--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -11,7 +11,10 @@
 import oxbowlug.wire.ExitCause
 import oxbowlug.wire.JobSpecCodec
 import oxbowlug.wire.JobSpecCodecTest
+import oxbowlug.wire.ListedMachine
 import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.RentalRequest
 import oxbowlug.wire.ReportedTask
 import oxbowlug.wire.TaskId
 import oxbowlug.wire.TaskState
@@ -223,4 +226,33 @@
         assertEquals(pauses.sorted(), pauses, "the pause grows")
         assertTrue(pauses.last() > pauses[1])
     }
+
+    @Test
+    fun `a silent machine that can't be had again is given up only where there is room`() {
+        val type = MachineType(TypeName("g8"), 64.0, spec.gpus, 256.0, 200.0, 2.0, 20.0, 8.0, 30.0, listOf(Zone("a")))
+        val types = mapOf(type.name to type)
+        val rentals = Rentals(Names(Member("n0", "x")), settings, NoCloud, clock, timing, RateBudget(1.0), fleet)
+        val planning = Planning(settings, clock, timing, fleet, rentals, clock.now)
+        take(record(), 1)
+        fleet.hear(report(1, tasks = listOf(ReportedTask(attempt, TaskState.RUNNING, null, false))), hello = true)
+        val silent = fleet.machines.getValue(machine)
+        clock.now += timing.suspectMs
+        assertFalse(planning.hasRoomFor(listOf(silent), types), "it is the only one")
+        for (name in listOf("host-000002", "host-000003")) {
+            fleet.hear(report(1).copy(machine = MachineId(name)), hello = true)
+        }
+        assertTrue(planning.hasRoomFor(listOf(silent), types))
+        clock.now += timing.quietMs + 1
+        assertFalse(planning.hasRoomFor(listOf(silent), types), "the others are silent too")
+    }
+
+    private object NoCloud : CloudPort {
+        override fun types(done: (List<MachineType>?) -> Unit) = Unit
+
+        override fun rent(request: RentalRequest, done: (RentalOutcome) -> Unit) = Unit
+
+        override fun giveBack(machines: List<MachineId>, done: (Boolean) -> Unit) = Unit
+
+        override fun list(done: (List<ListedMachine>?) -> Unit) = Unit
+    }
 }
