Settings without a zone, or with a lease within a report's interval, end the start

Such settings can't work: every worker would lose its tasks between two reports. The message names the field.

--- a/src/main/kotlin/oxbowlug/config/SettingsFile.kt
+++ b/src/main/kotlin/oxbowlug/config/SettingsFile.kt
@@ -32,15 +32,11 @@
             },
             cloudAddress = outside.address("cloud"),
             stateAddress = outside.address("state"),
-            zones = shared.texts("zones").map(::Zone),
+            zones = zones(shared),
             skewMs = shared.number("skew_ms", min = 0.0, default = 0.0),
             teams = shared.tables("teams").map(::team).associateBy { it.name },
             objectives = shared.tables("objectives").mapNotNull(::objective),
-            workers = WorkerSettings(
-                reportS = workers.positive("report_s"),
-                leaseS = workers.positive("lease_s"),
-                cancelS = workers.positive("cancel_s"),
-            ),
+            workers = workers(workers),
             state = StateSettings(
                 rps = state.positive("rps"),
                 writeRps = state.positive("write_rps"),
@@ -56,6 +52,23 @@
         )
     }
 
+    private fun zones(table: Table): List<Zone> {
+        val zones = table.texts("zones").map(::Zone)
+        if (zones.isEmpty()) table.fail("zones", "must name at least one zone")
+        return zones
+    }
+
+    private fun workers(table: Table): WorkerSettings {
+        val workers = WorkerSettings(
+            reportS = table.positive("report_s"),
+            leaseS = table.positive("lease_s"),
+            cancelS = table.positive("cancel_s"),
+        )
+        // Every worker would lose its tasks between two reports.
+        if (workers.leaseS <= workers.reportS) table.fail("lease_s", "must be more than report_s")
+        return workers
+    }
+
     private fun team(table: Table): Team {
         fun limit(name: String): Double {
             val value = table.number(name, min = 0.0, default = 0.0)
