--- a/src/main/kotlin/oxbowlug/core/Commits.kt
+++ b/src/main/kotlin/oxbowlug/core/Commits.kt
@@ -29,7 +29,7 @@
     var deposed = false
         private set
 
-    val backlog: Int get() = fleet.jobs.values.count { it.dirtySince != null }
+    val backlog: Int get() = fleet.dirty.size
 
     fun flush() {
         val now = clock.steadyMs()
@@ -41,11 +41,11 @@
     }
 
     private fun nextGroup(now: Long): List<Job> {
+        if (fleet.dirty.isEmpty()) return emptyList()
         val room = minOf(budget.available(now).toInt(), settings.state.txnOps)
         if (room < 1) return emptyList()
-        val due = fleet.jobs.values.filter { job ->
-            val since = job.dirtySince
-            since != null && !job.isWriting && (job.isUrgent || now >= since + timing.lazyWriteMs)
+        val due = fleet.dirty.filter { job ->
+            !job.isWriting && (job.isUrgent || now >= (job.dirtySince ?: now) + timing.lazyWriteMs)
         }
         if (due.isEmpty()) return emptyList()
         val group = ArrayList<Job>(room)
@@ -69,6 +69,7 @@
         for (job in group) {
             conditions.add(Condition(Keys.job(job.id.value), job.version))
             val record = job.beginWrite(names.next())
+            fleet.dirty.remove(job)
             changes.add(Change.Put(Keys.job(job.id.value), record.encode()))
         }
         state.commit(Transaction(conditions, changes)) { outcome ->
--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -37,6 +37,12 @@
     /** Machines whose commands changed and that should hear of it directly. */
     val pokes = LinkedHashSet<MachineId>()
 
+    /** Jobs that differ from what is stored: looked for among all jobs, they would cost a scan for every report. */
+    val dirty = LinkedHashSet<Job>()
+
+    /** An attempt may be held on a machine that is gone. */
+    private var sweepWanted = false
+
     fun isGone(id: MachineId): Boolean = id in gone
 
     fun machine(id: MachineId): Machine? {
@@ -52,7 +58,7 @@
         if (present == null) {
             if (stored.value == null) return
             val record = JobRecord.decode(value)
-            val job = Job(record, stored.version)
+            val job = Job(record, stored.version, dirty::add)
             if (record.phase == Phase.CANCELLED) job.cancelledAt = now
             jobs[id] = job
             arrivals.add(job.spec, job.submittedMs)
@@ -65,6 +71,7 @@
         val old = present.live.values.toList()
         val wasActive = present.phase == Phase.ACTIVE
         if (present.foreignWrite(JobRecord.decode(value), stored.version, now)) {
+            sweepWanted = true
             for (placed in old) machines[placed.machine]?.live?.remove(placed.attempt)
             attachAll(present)
         }
@@ -286,6 +293,7 @@
     /** Proofs 2 and 3: the cloud took it back, lists it as failed, or lists it no more. */
     fun removeMachine(id: MachineId, why: String) {
         gone.add(id)
+        sweepWanted = true
         val host = machines[id] ?: return
         log.info("{} is gone: {}, {} attempts with it", id, why, host.live.size)
         for (placed in host.live.values.toList()) remove(placed)
@@ -295,6 +303,8 @@
 
     /** Attempts on machines that an earlier proof removed. */
     fun sweep() {
+        if (!sweepWanted) return
+        sweepWanted = false
         for (job in jobs.values) {
             for (placed in job.live.values.toList()) if (placed.machine in gone) remove(placed)
         }
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/Hearing.kt
@@ -0,0 +1,46 @@
+package oxbowlug.core
+
+import oxbowlug.wire.MachineState
+import oxbowlug.wire.Zone
+
+/**
+ * Which machines are silent, counted once a tick and zone by zone: asked for each machine, it would cost the square of
+ * the fleet. Some silent machines of a zone hang or are dead; most of a zone is a cut, or trouble of our own.
+ */
+class Hearing(machines: Collection<Machine>, timing: Timing, now: Long) {
+    private class Count {
+        var expected = 0
+        var heard = 0
+        var known = 0
+        var silent = 0
+    }
+
+    private val zones = HashMap<Zone?, Count>()
+
+    /** Silent for so long that they are likely to hang or to be dead. */
+    val suspects = ArrayList<Machine>()
+
+    init {
+        for (host in machines) {
+            val count = zones.getOrPut(host.zone, ::Count)
+            val heardAt = host.heardAt
+            if (heardAt != null || host.listed == MachineState.RUNNING) count.expected++
+            if (heardAt == null) continue
+            if (now - heardAt <= timing.quietMs) count.heard++
+            if (host.returning) continue
+            count.known++
+            if (now - heardAt > timing.cutSignMs) count.silent++
+            if (now - heardAt > timing.suspectMs) suspects.add(host)
+        }
+    }
+
+    /** If most of a zone is silent, returning its machines would make it worse. */
+    fun mostAreHeard(zone: Zone?): Boolean = zones[zone]?.let { it.heard * 2 > it.expected } ?: false
+
+    fun isCut(zone: Zone?): Boolean = zones[zone]?.let { it.silent > maxOf(1, it.known / CUT) } ?: false
+
+    private companion object {
+        /** More than one in so many of a zone's machines don't hang or die at a time. */
+        const val CUT = 3
+    }
+}
--- a/src/main/kotlin/oxbowlug/core/Job.kt
+++ b/src/main/kotlin/oxbowlug/core/Job.kt
@@ -1,5 +1,6 @@
 package oxbowlug.core
 
+import oxbowlug.plan.amounts
 import oxbowlug.wire.Attempt
 import oxbowlug.wire.JobId
 import oxbowlug.wire.MachineId
@@ -50,9 +51,10 @@
 }
 
 /** The leader's account of a job: what the state service holds, and what is yet to be written there. */
-class Job(record: JobRecord, version: Long) {
+class Job(record: JobRecord, version: Long, private val onDirty: (Job) -> Unit = {}) {
     val id: JobId = record.spec.id
     val spec = record.spec
+    val need = spec.amounts()
     val submittedMs = record.submittedMs
     var phase = record.phase
         private set
@@ -122,7 +124,10 @@
     }
 
     private fun touch(now: Long, urgent: Boolean) {
-        if (dirtySince == null) dirtySince = now
+        if (dirtySince == null) {
+            dirtySince = now
+            onDirty(this)
+        }
         if (urgent) isUrgent = true
     }
 
--- a/src/main/kotlin/oxbowlug/core/Machine.kt
+++ b/src/main/kotlin/oxbowlug/core/Machine.kt
@@ -73,7 +73,7 @@
     /** Free room: everything that is placed or still reported takes its part. */
     fun free(type: MachineType, strangers: Amounts): Amounts {
         var free = type.amounts() - strangers
-        for (placed in live.values) free -= placed.job.spec.amounts()
+        for (placed in live.values) free -= placed.job.need
         return free
     }
 }
--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -9,7 +9,6 @@
 import oxbowlug.plan.PlanTeam
 import oxbowlug.plan.Snapshot
 import oxbowlug.plan.Tenant
-import oxbowlug.plan.amounts
 import oxbowlug.plan.fetchS
 import oxbowlug.wire.ClassName
 import oxbowlug.wire.JobId
@@ -17,6 +16,7 @@
 import oxbowlug.wire.MachineId
 import oxbowlug.wire.MachineState
 import oxbowlug.wire.MachineType
+import oxbowlug.wire.Priority
 import oxbowlug.wire.TaskState
 import oxbowlug.wire.TypeName
 import oxbowlug.wire.Zone
@@ -40,7 +40,7 @@
             PlanTeam(team.maxCores, team.maxGpus, team.guaranteedCores, team.guaranteedGpus)
         }
         for (job in fleet.jobs.values) {
-            val need = job.spec.amounts()
+            val need = job.need
             val team = teams[job.spec.team] ?: continue
             for (placed in job.live.values) {
                 team.add(need)
@@ -157,6 +157,7 @@
             isEmpty = host.live.isEmpty(),
             leaving = leaving(host),
             tenants = lazy(LazyThreadSafetyMode.NONE) { host.live.values.map { tenant(it, type, zoneUses, now) } },
+            leastUrgent = leastUrgent(host),
         )
     }
 
@@ -178,7 +179,7 @@
         var sum = Amounts.NONE
         for (task in host.tasks.values) {
             if (task.state == TaskState.EXITED || task.attempt in host.live) continue
-            fleet.jobs[task.attempt.task.job]?.let { sum += it.spec.amounts() }
+            fleet.jobs[task.attempt.task.job]?.let { sum += it.need }
         }
         return sum
     }
@@ -189,7 +190,7 @@
         for (job in fleet.jobs.values) {
             for (placed in job.live.values) {
                 val target = placed.target ?: continue
-                if (placed.stop != null) result.merge(target, job.spec.amounts(), Amounts::plus)
+                if (placed.stop != null) result.merge(target, job.need, Amounts::plus)
             }
         }
         return result
@@ -197,10 +198,19 @@
 
     private fun leaving(host: Machine): Amounts {
         var sum = Amounts.NONE
-        for (placed in host.live.values) if (!placed.isWanted) sum += placed.job.spec.amounts()
+        for (placed in host.live.values) if (!placed.isWanted) sum += placed.job.need
         return sum
     }
 
+    private fun leastUrgent(host: Machine): Priority? {
+        var least: Priority? = null
+        for (placed in host.live.values) {
+            val priority = placed.job.spec.priority
+            if (placed.isWanted && (least == null || priority > least)) least = priority
+        }
+        return least
+    }
+
     private fun tenant(placed: Live, type: MachineType, zoneUses: ZoneUses, now: Long): Tenant {
         val spec = placed.job.spec
         val ranS = if (placed.seen == TaskState.RUNNING) (now - placed.seenRunningAt) / 1000.0 else 0.0
@@ -237,7 +247,7 @@
     /** Whether what these machines hold would fit elsewhere, with some to spare since room comes in pieces. */
     fun hasRoomFor(hosts: List<Machine>, types: Map<TypeName, MachineType>): Boolean {
         var need = Amounts.NONE
-        for (host in hosts) for (placed in host.live.values) if (placed.isWanted) need += placed.job.spec.amounts()
+        for (host in hosts) for (placed in host.live.values) if (placed.isWanted) need += placed.job.need
         var free = Amounts.NONE
         val now = clock.steadyMs()
         for (host in fleet.machines.values) {
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -33,15 +33,31 @@
     /** A machine that missed this many reports is likely to hang or to be dead. */
     val suspectMs: Long = (workerLeaseMs * 0.4).toLong()
 
+    /**
+     * When the first machine of a zone that was cut off becomes suspect, all others have been silent for this long: a
+     * report comes after up to 1.25 times the interval. Counted any later, a part of the zone would be given up first.
+     */
+    val cutSignMs: Long = suspectMs - (reportMs * 1.25).toLong()
+
     /** How long a report waits for a leader to be known: as long as its worker would before it tries elsewhere. */
     val reportWaitMs: Long = minOf(reportMs, workerLeaseMs * 0.1).toLong()
 
     /** Early enough for a successor to answer before the workers' leases are over. */
     val workersLostMs: Long = (workerLeaseMs * 0.35).toLong()
+
+    /** Alone for this long, a deputy begins: workers that lost the leader need as long to come to it. */
+    val deputyMs: Long = (workerLeaseMs * 0.35).toLong()
+
+    /** For this long after it got a word of the leader, its deputy has surely not begun. */
+    val deputyClearMs: Long = (deputyMs * (1.0 - drift)).toLong() - 2 * CLOCK_STEP_MS
+
     val cancelMs: Long = (settings.workers.cancelS * 1000.0).toLong()
 
     /** Half of the time allowed for a cancellation: then a machine that can't be reached is returned. */
     val cancelPatienceMs: Long = (settings.workers.cancelS * 500.0).toLong()
+
+    /** A zone that is cut off may come back before that, and its machines hold much other work. */
+    val cancelPatienceCutMs: Long = (settings.workers.cancelS * 750.0).toLong()
     val directTimeoutMs: Long = workerLeaseMs.toLong() / 5
     val watchMs: Long = workerLeaseMs.toLong()
 
--- a/src/main/kotlin/oxbowlug/http/HttpCaller.kt
+++ b/src/main/kotlin/oxbowlug/http/HttpCaller.kt
@@ -30,17 +30,17 @@
     data object Unanswered : CallResult
 }
 
-/** Calls with CBOR bodies over kept-open connections. */
-class HttpCaller(vertx: Vertx, connections: Int) {
+/** Calls with CBOR bodies over connections that stay open for [keepAliveS]; at most [waiting] calls wait for one. */
+class HttpCaller(vertx: Vertx, connections: Int, keepAliveS: Int = KEEP_ALIVE_S, waiting: Int = MAX_WAITING) {
     private val client = vertx.httpClientBuilder()
         .with(
             HttpClientOptions()
                 .setKeepAlive(true)
-                .setKeepAliveTimeout(KEEP_ALIVE_S)
+                .setKeepAliveTimeout(keepAliveS)
                 .setDecompressionSupported(false)
                 .setTcpNoDelay(true),
         )
-        .with(PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(MAX_WAITING))
+        .with(PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(waiting))
         .build()
 
     suspend fun call(
--- a/src/main/kotlin/oxbowlug/plan/Consolidation.kt
+++ b/src/main/kotlin/oxbowlug/plan/Consolidation.kt
@@ -22,6 +22,7 @@
                 it.isReady && it.id != null && it.tenants.isNotEmpty() && it.id !in reserved && movable(it, snapshot)
             }
             .sortedByDescending { gain(it, snapshot) }
+            .take(MOST_TRIED)
         // The fullest first, so that the emptier ones can be emptied next.
         val hosts = machines.filter { it.isReady && !it.isEmpty }.sortedBy { it.type.share(it.free) }
         for (machine in candidates) {
@@ -53,11 +54,11 @@
             val use = zoneUse.getOrPut(spec.id.value) { HashMap(tenant.zoneUse) }
             use.merge(machine.zone, -1, Int::plus)
             val host = hosts.firstOrNull { other ->
-                other !== machine && allows(spec, other, use) &&
-                    spec.image in other.images && spec.amounts().fitsIn(free[other] ?: other.free)
+                tenant.need.fitsIn(free[other] ?: other.free) && other !== machine &&
+                    spec.image in other.images && allows(spec, other, use)
             } ?: return null
             targets[tenant.attempt] = host.id ?: return null
-            free[host] = (free[host] ?: host.free) - spec.amounts()
+            free[host] = (free[host] ?: host.free) - tenant.need
             use.merge(host.zone, 1, Int::plus)
         }
         return targets
@@ -67,11 +68,13 @@
         if (host.spot && !spec.spot) return false
         if (spec.types != null && host.type.name !in spec.types) return false
         if (spec.zone != null && host.zone != spec.zone) return false
-        val others = use.filterValues { it > 0 }
-        if (spec.oneZone && others.keys.any { it != host.zone }) return false
+        if (spec.oneZone && use.any { (zone, count) -> count > 0 && zone != host.zone }) return false
         return (use[host.zone] ?: 0) < spec.zoneCap
     }
 
     /** A moved replica is down for about a report, a plan and a start. */
     private const val MOVE_S = 3.0
+
+    /** In a full fleet nothing fits elsewhere, and trying every machine against every other is its square. */
+    private const val MOST_TRIED = 64
 }
--- a/src/main/kotlin/oxbowlug/plan/Offers.kt
+++ b/src/main/kotlin/oxbowlug/plan/Offers.kt
@@ -1,6 +1,5 @@
 package oxbowlug.plan
 
-import it.unimi.dsi.fastutil.doubles.DoubleArrayList
 import it.unimi.dsi.fastutil.ints.IntArrayList
 import oxbowlug.wire.Zone
 
@@ -29,20 +28,26 @@
 /**
  * The cheapest places for the tasks of one job. Its tasks are alike, so each machine is priced once for the job, and
  * again only after the plan has changed it: pricing every machine for every task made the plans of a large fleet
- * longer than its users wait for an answer.
+ * longer than its users wait for an answer. Machines without room for even the smallest task are passed over for the
+ * rest of the plan: in a full fleet that is most of them, and free room only shrinks while planning.
  */
 class Offers(private val machines: List<PlanMachine>, private val snapshot: Snapshot) {
     private class Prices(val room: Room) {
-        val cost = DoubleArrayList()
+        /** Machines that may still have room of this sort, by their index. */
+        val open = IntArrayList()
+        var known = 0
+        var cost = DoubleArray(0)
 
-        /** The machine's count of changes at which it was priced. */
-        val pricedAt = IntArrayList()
+        /** The job and the machine's count of changes for which it was priced. */
+        var pricedAt = LongArray(0)
     }
 
     private val prices = Room.entries.map(::Prices)
     private val zones = ArrayList<Zone>()
     private val zoneOf = IntArrayList()
     private var allowed = BooleanArray(0)
+    private val least = leastNeed(snapshot.jobs)
+    private var round = 0
     var priced = 0
         private set
     private lateinit var job: PlanJob
@@ -56,43 +61,71 @@
         need = nextNeed
         yields = !guaranteed && next.spec.spot
         startWeight = Pricing.startWeight(next, guaranteed, snapshot)
-        for (column in prices) {
-            column.cost.clear()
-            column.pricedAt.clear()
-        }
+        round++
     }
 
     fun cheapest(room: Room, rule: ZoneRule): Offer? {
         val column = prices[room.ordinal]
-        update(column)
+        admitNew(column)
         allowZones(rule)
+        val open = column.open
         var best = -1
         var bestCost = Double.POSITIVE_INFINITY
-        for (index in machines.indices) {
-            val cost = column.cost.getDouble(index)
+        var kept = 0
+        for (position in open.indices) {
+            val index = open.getInt(position)
+            if (!isOpen(machines[index], room)) continue
+            open.set(kept++, index)
+            val cost = cost(column, index)
             if (cost < bestCost && allowed[zoneOf.getInt(index)]) {
                 best = index
                 bestCost = cost
             }
         }
+        open.size(kept)
         if (best < 0) return null
         val machine = machines[best]
         val isScarce = scarcity(machine) > SCARCE
         return Offer(machine, bestCost, delayS(machine, room), strandCost(machine) > 0.0, isScarce)
     }
 
-    private fun update(column: Prices) {
-        val known = column.cost.size
-        for (index in 0 until known) {
-            val machine = machines[index]
-            if (column.pricedAt.getInt(index) == machine.changes) continue
-            column.pricedAt.set(index, machine.changes)
-            column.cost.set(index, price(machine, column.room))
+    /** A stop may give any ready machine room that is coming, so none of them is ever passed over for that. */
+    private fun isOpen(machine: PlanMachine, room: Room): Boolean = when (room) {
+        Room.READY -> machine.isReady && least.fitsIn(machine.free)
+        Room.COMING -> machine.isReady
+        Room.BOOTING -> !machine.isReady && least.fitsIn(machine.free)
+    }
+
+    private fun admitNew(column: Prices) {
+        if (column.known == machines.size) return
+        if (column.cost.size < machines.size) {
+            column.cost = column.cost.copyOf(machines.size * 2)
+            column.pricedAt = column.pricedAt.copyOf(machines.size * 2)
+        }
+        while (column.known < machines.size) column.open.add(column.known++)
+    }
+
+    private fun cost(column: Prices, index: Int): Double {
+        val machine = machines[index]
+        if (column.room == Room.COMING && !machine.isGettingRoom) return Double.POSITIVE_INFINITY
+        val stamp = round.toLong().shl(Int.SIZE_BITS) or machine.changes.toLong()
+        if (column.pricedAt[index] != stamp) {
+            column.pricedAt[index] = stamp
+            column.cost[index] = price(machine, column.room)
         }
-        for (index in known until machines.size) {
-            column.pricedAt.add(machines[index].changes)
-            column.cost.add(price(machines[index], column.room))
+        return column.cost[index]
+    }
+
+    private fun leastNeed(jobs: List<PlanJob>): Amounts {
+        var cores = Double.POSITIVE_INFINITY
+        var gpus = Double.POSITIVE_INFINITY
+        var memoryGb = Double.POSITIVE_INFINITY
+        for (next in jobs) {
+            cores = minOf(cores, next.spec.cores)
+            gpus = minOf(gpus, next.spec.gpus)
+            memoryGb = minOf(memoryGb, next.spec.memoryGb)
         }
+        return Amounts(cores, gpus, memoryGb)
     }
 
     private fun allowZones(rule: ZoneRule) {
--- a/src/main/kotlin/oxbowlug/plan/Preemption.kt
+++ b/src/main/kotlin/oxbowlug/plan/Preemption.kt
@@ -18,7 +18,8 @@
         machine: PlanMachine,
         snapshot: Snapshot,
     ): Choice? {
-        if (!machine.isReady || machine.isEmpty || !Constraints.allow(job, machine)) return null
+        if (!machine.isReady || machine.isEmpty || !mayHoldVictims(job, guaranteed, machine)) return null
+        if (!Constraints.allow(job, machine)) return null
         val candidates = machine.tenants.filter { tenant ->
             !tenant.stopping && tenant.attempt !in machine.stopped &&
                 mayStop(job, guaranteed, tenant, snapshot.teams)
@@ -45,6 +46,12 @@
         return Choice(machine, chosen, cost + losses)
     }
 
+    /** Told without listing the machine's tenants: for a whole fleet that would be most of a plan's time. */
+    fun mayHoldVictims(job: PlanJob, guaranteed: Boolean, machine: PlanMachine): Boolean {
+        val least = machine.leastUrgent ?: return false
+        return guaranteed || least > job.spec.priority
+    }
+
     /**
      * Work inside its team's guarantee gives way only to other work inside one. Otherwise two teams could stop each
      * other in turn for ever, one by its priority and the other by its guarantee.
@@ -67,7 +74,13 @@
 class Stops(private val machines: List<PlanMachine>, private val snapshot: Snapshot) {
     private class Asked(val choice: Preemption.Choice?, val atChange: Int)
 
+    /** No machine is added to them while a plan is made. */
+    private val tenanted = machines.filter { it.isReady && !it.isEmpty && it.leastUrgent != null }
+
+    /** Those where something might be stopped for the job; on most of a fleet nothing may. */
+    private var candidates: List<PlanMachine> = emptyList()
     private val answers = ArrayList<Asked>()
+    private var isNew = true
     var asked = 0
         private set
     private lateinit var job: PlanJob
@@ -79,13 +92,19 @@
         job = next
         startWeight = Pricing.startWeight(next, guaranteedOnly, snapshot)
         need = nextNeed
-        answers.clear()
+        isNew = true
     }
 
     fun cheapest(team: PlanTeam, rule: ZoneRule): Preemption.Choice? {
-        val nowGuaranteed = team.guarantees(need)
-        if (nowGuaranteed != guaranteed) answers.clear()
-        guaranteed = nowGuaranteed
+        // A guarantee displaces only what others borrow beyond theirs.
+        val nowGuaranteed = team.guarantees(need) &&
+            snapshot.teams.any { (name, other) -> name != job.spec.team && other.borrowsAnything() }
+        if (isNew || nowGuaranteed != guaranteed) {
+            isNew = false
+            guaranteed = nowGuaranteed
+            answers.clear()
+            candidates = tenanted.filter { Preemption.mayHoldVictims(job, guaranteed, it) }
+        }
         while (true) {
             val index = cheapestKnown(rule)
             if (index < 0) return null
@@ -99,10 +118,10 @@
     private fun cheapestKnown(rule: ZoneRule): Int {
         var best = -1
         var bestCost = Double.POSITIVE_INFINITY
-        for (index in machines.indices) {
+        for (index in candidates.indices) {
             if (index == answers.size) {
                 answers.add(ask(index))
-            } else if (answers[index].atChange != machines[index].changes) {
+            } else if (answers[index].atChange != candidates[index].changes) {
                 answers[index] = ask(index)
             }
             val choice = answers[index].choice ?: continue
@@ -116,7 +135,7 @@
 
     private fun ask(index: Int): Asked {
         asked++
-        val machine = machines[index]
+        val machine = candidates[index]
         return Asked(Preemption.victims(job, need, guaranteed, startWeight, machine, snapshot), machine.changes)
     }
 }
--- a/src/main/kotlin/oxbowlug/plan/Relief.kt
+++ b/src/main/kotlin/oxbowlug/plan/Relief.kt
@@ -20,12 +20,15 @@
         snapshot: Snapshot,
     ): Choice? {
         if (need.gpus <= 0.0) return null
+        val hosts = machines.filter { it.isReady && it.type.gpus <= 0.0 && it.free.cores > 0.0 }
+        if (hosts.isEmpty()) return null
         var best: Choice? = null
         for (machine in machines) {
             val gpus = machine.free.gpus + machine.coming.gpus
             if (!machine.isReady || gpus < need.gpus) continue
             if (!Constraints.allow(job, machine) || !zones.allows(machine.zone)) continue
-            val moved = moves(need, machine, machines, snapshot) ?: continue
+            val moved = moves(need, machine, hosts, snapshot) ?: continue
+            if (moved.size == 1) return Choice(machine, moved)
             if (best == null || moved.size < best.moved.size) best = Choice(machine, moved)
         }
         return best
@@ -34,21 +37,21 @@
     private fun moves(
         need: Amounts,
         machine: PlanMachine,
-        machines: List<PlanMachine>,
+        hosts: List<PlanMachine>,
         snapshot: Snapshot,
     ): List<Moved>? {
         var room = machine.free + machine.coming
+        val movable = machine.tenants.filter { mayMove(it, machine, snapshot) }
+        if (!need.fitsIn(movable.fold(room) { sum, tenant -> sum + tenant.need })) return null
         val taken = HashMap<PlanMachine, Amounts>()
         val moved = ArrayList<Moved>()
-        for (tenant in machine.tenants) {
+        for (tenant in movable) {
             if (need.fitsIn(room)) break
-            if (!mayMove(tenant, machine, snapshot)) continue
             val elsewhere = HashMap<Zone, Int>(tenant.zoneUse)
             elsewhere.merge(machine.zone, -1, Int::plus)
-            val host = machines.firstOrNull { other ->
-                other !== machine && other.isReady && other.type.gpus <= 0.0 &&
-                    tenant.spec.image in other.images && Consolidation.allows(tenant.spec, other, elsewhere) &&
-                    tenant.need.fitsIn(taken[other] ?: other.free)
+            val host = hosts.firstOrNull { other ->
+                tenant.need.fitsIn(taken[other] ?: other.free) && tenant.spec.image in other.images &&
+                    Consolidation.allows(tenant.spec, other, elsewhere)
             } ?: continue
             taken[host] = (taken[host] ?: host.free) - tenant.need
             moved.add(Moved(tenant, host))
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -100,6 +100,8 @@
     leaving: Amounts,
     /** Most plans look at few machines' tenants, so they are listed only when asked for. */
     tenants: Lazy<List<Tenant>>,
+    /** No tenant that isn't on its way out is less urgent than this; null where there is none at all. */
+    val leastUrgent: Priority? = Priority.LOW,
 ) {
     val tenants: List<Tenant> by tenants
 
@@ -210,6 +212,12 @@
         return coresOver || gpusOver || nothingGuaranteed
     }
 
+    /** Whether [borrows] can be true of any of its tasks. */
+    fun borrowsAnything(): Boolean =
+        (guaranteedCores > 0.0 && cores - stoppingCores > guaranteedCores) ||
+            (guaranteedGpus > 0.0 && gpus - stoppingGpus > guaranteedGpus) ||
+            (guaranteedCores <= 0.0 && guaranteedGpus <= 0.0)
+
     private fun within(value: Double, guarantee: Double) = guarantee <= 0.0 || value <= guarantee + SLACK
 
     private companion object {
