A cancellation's time is in the record; a cut is seen by a leader elected during it

The leader, elected at 194 s during the cut, had never heard them, so it saw no cut, and counted half of the time allowed from its own start. Now the record says when the user was told, machines that were never heard count as silent, and in a cut zone the time allowed is used to 0.85. Counting from the leader's start could also have been too late. Log lines of the HTTP library for each reset connection are left out; they came by the hundred.

--- a/src/main/kotlin/oxbowlug/cli/Logging.kt
+++ b/src/main/kotlin/oxbowlug/cli/Logging.kt
@@ -17,6 +17,8 @@
         // The libraries' own chatter is of no use to operators.
         set("log.io.netty", "error")
         set("log.io.vertx", "error")
+        // A line for each connection that a cut resets, some hundred at a time, tells nothing that the core doesn't.
+        set("log.io.vertx.core.net", "off")
         set("log.io.micrometer", "error")
     }
 
--- a/src/main/kotlin/oxbowlug/core/Desk.kt
+++ b/src/main/kotlin/oxbowlug/core/Desk.kt
@@ -143,6 +143,7 @@
         // All but the phase stays as the leader wrote it, so the leader knows its own record under the change.
         val cancelled = LinkedHashMap(value)
         cancelled["phase"] = Phase.CANCELLED.wire
+        cancelled[JobRecord.CANCELLED_AT] = clock.wallMs()
         val transaction = Transaction(listOf(Condition(key, stored.version)), listOf(Change.Put(key, cancelled)))
         budget.take(1.0, clock.steadyMs())
         state.commit(transaction) { outcome ->
--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -59,7 +59,7 @@
             if (stored.value == null) return
             val record = JobRecord.decode(value)
             val job = Job(record, stored.version, dirty::add)
-            if (record.phase == Phase.CANCELLED) job.cancelledAt = now
+            if (record.phase == Phase.CANCELLED) job.cancelledAt = cancelledAt(record, now)
             jobs[id] = job
             arrivals.add(job.spec, job.submittedMs)
             job.liveFrom(record)
@@ -70,18 +70,28 @@
         if (stored.version <= present.version) return
         val old = present.live.values.toList()
         val wasActive = present.phase == Phase.ACTIVE
-        if (present.foreignWrite(JobRecord.decode(value), stored.version, now)) {
+        val record = JobRecord.decode(value)
+        if (present.foreignWrite(record, stored.version, now)) {
             sweepWanted = true
             for (placed in old) machines[placed.machine]?.live?.remove(placed.attempt)
             attachAll(present)
         }
         if (present.phase == Phase.CANCELLED) {
-            if (wasActive) arrivals.leave(present.spec, clock.wallMs())
+            if (wasActive) {
+                arrivals.leave(present.spec, clock.wallMs())
+                present.cancelledAt = cancelledAt(record, now)
+            }
             stopCancelled(present)
         }
         planWanted = true
     }
 
+    /** Counted from when its user was told, not from when this leader learned of it: it may have been elected since. */
+    private fun cancelledAt(record: JobRecord, now: Long): Long {
+        val ageMs = record.cancelledMs?.let { clock.wallMs() - it } ?: 0
+        return now - ageMs.coerceIn(0, timing.cancelMs)
+    }
+
     private fun attachAll(job: Job) {
         for (placed in job.live.values.toList()) {
             val host = machine(placed.machine)
--- a/src/main/kotlin/oxbowlug/core/Hearing.kt
+++ b/src/main/kotlin/oxbowlug/core/Hearing.kt
@@ -7,7 +7,7 @@
  * Which machines are silent, counted once a tick and zone by zone: asked for each machine, it would cost the square of
  * the fleet. Some silent machines of a zone hang or are dead; most of a zone is a cut, or trouble of our own.
  */
-class Hearing(machines: Collection<Machine>, timing: Timing, now: Long) {
+class Hearing(machines: Collection<Machine>, timing: Timing, startedAt: Long, now: Long) {
     private class Count {
         var expected = 0
         var heard = 0
@@ -24,13 +24,15 @@
         for (host in machines) {
             val count = zones.getOrPut(host.zone, ::Count)
             val heardAt = host.heardAt
-            if (heardAt != null || host.listed == MachineState.RUNNING) count.expected++
-            if (heardAt == null) continue
-            if (now - heardAt <= timing.quietMs) count.heard++
+            if (heardAt == null && host.listed != MachineState.RUNNING) continue
+            count.expected++
+            if (heardAt != null && now - heardAt <= timing.quietMs) count.heard++
             if (host.returning) continue
             count.known++
-            if (now - heardAt > timing.cutSignMs) count.silent++
-            if (now - heardAt > timing.suspectMs) suspects.add(host)
+            // A leader elected during a cut has never heard the machines behind it.
+            val since = heardAt ?: maxOf(startedAt, host.knownSince)
+            if (now - since > timing.cutSignMs) count.silent++
+            if (heardAt != null && now - heardAt > timing.suspectMs) suspects.add(host)
         }
     }
 
--- a/src/main/kotlin/oxbowlug/core/Job.kt
+++ b/src/main/kotlin/oxbowlug/core/Job.kt
@@ -78,6 +78,7 @@
         private set
     val isWriting: Boolean get() = pendingRecord != null
     var cancelledAt: Long? = null
+    private var cancelledMs = record.cancelledMs
 
     /** Until then it goes before others, since room was found for it before it was stopped. */
     var movingUntil = 0L
@@ -153,7 +154,7 @@
     fun beginWrite(write: String): JobRecord {
         val record = JobRecord(
             spec, submittedMs, phase, done.clone() as BitSet, nextAttempt,
-            live.mapValues { (_, placed) -> Placement(placed.machine, placed.number) }, write,
+            live.mapValues { (_, placed) -> Placement(placed.machine, placed.number) }, write, cancelledMs,
         )
         pendingRecord = record
         dirtySince = null
@@ -202,6 +203,7 @@
         if (record.phase == Phase.DONE) phase = Phase.DONE
         if (record.phase == Phase.CANCELLED && phase != Phase.CANCELLED) {
             phase = Phase.CANCELLED
+            cancelledMs = record.cancelledMs
             cancelledAt = now
         }
         if (replaced) {
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -78,7 +78,7 @@
     fun tick(types: Map<TypeName, MachineType>) {
         val now = clock.steadyMs()
         deputies.tick(now)
-        val hearing = Hearing(fleet.machines.values, timing, now)
+        val hearing = Hearing(fleet.machines.values, timing, startedAt, now)
         val hasRoom by lazy(LazyThreadSafetyMode.NONE) { planning.hasRoomFor(hearing.suspects, types) }
         for (host in fleet.machines.values.toList()) watchOver(host, now, types, hearing) { hasRoom }
         fleet.sweep()
--- a/src/main/kotlin/oxbowlug/core/Records.kt
+++ b/src/main/kotlin/oxbowlug/core/Records.kt
@@ -87,6 +87,8 @@
     val placements: Map<Int, Placement>,
     /** Names the write, so that its author knows its own change again when the answer was lost. */
     val write: String,
+    /** By the time of day, when its user was about to be told; a later leader counts the time allowed from there. */
+    val cancelledMs: Long? = null,
 ) {
     fun encode(): Map<String, Any?> {
         val map = LinkedHashMap<String, Any?>()
@@ -97,6 +99,7 @@
         map["next"] = nextAttempt
         if (placements.isNotEmpty()) map["run"] = encodePlacements()
         map["by"] = write
+        if (cancelledMs != null) map[CANCELLED_AT] = cancelledMs
         return map
     }
 
@@ -117,6 +120,7 @@
         const val SPEC_BOUND = 2048
         const val MACHINE_BOUND = 48
         const val PLACEMENT_BOUND = 12
+        const val CANCELLED_AT = "cancelled"
 
         fun decode(value: Map<String, Any?>): JobRecord {
             val fields = value.fields()
@@ -128,6 +132,7 @@
                 nextAttempt = fields.count("next"),
                 placements = if (fields.has("run")) decodePlacements(fields.map("run")) else emptyMap(),
                 write = fields.text("by"),
+                cancelledMs = if (fields.has(CANCELLED_AT)) fields.count(CANCELLED_AT) else null,
             )
         }
 
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -56,8 +56,8 @@
     /** Half of the time allowed for a cancellation: then a machine that can't be reached is returned. */
     val cancelPatienceMs: Long = (settings.workers.cancelS * 500.0).toLong()
 
-    /** A zone that is cut off may come back before that, and its machines hold much other work. */
-    val cancelPatienceCutMs: Long = (settings.workers.cancelS * 750.0).toLong()
+    /** A zone that is cut off may come back in time, and its machines hold much other work. */
+    val cancelPatienceCutMs: Long = (settings.workers.cancelS * 850.0).toLong()
     val directTimeoutMs: Long = workerLeaseMs.toLong() / 5
     val watchMs: Long = workerLeaseMs.toLong()
 
--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -13,6 +13,7 @@
 import oxbowlug.wire.JobSpecCodecTest
 import oxbowlug.wire.ListedMachine
 import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineState
 import oxbowlug.wire.MachineType
 import oxbowlug.wire.RentalRequest
 import oxbowlug.wire.ReportedTask
@@ -246,6 +247,42 @@
         assertFalse(planning.hasRoomFor(listOf(silent), types), "the others are silent too")
     }
 
+    @Test
+    fun `a cancellation counts from when its user was told, whoever leads since`() {
+        // Found on the bench: a leader elected during a cut counted the time allowed from its own start.
+        val told = record(Phase.CANCELLED)
+        val value = Cbor.decode(Cbor.encode(told.encode() + (JobRecord.CANCELLED_AT to clock.now - 12_000)))
+        fleet.takeJob(spec.id, StoredJob(told.phase, 1, spec.tasks, 0, 1, value), value)
+        assertEquals(clock.now - 12_000, job.cancelledAt)
+        assertEquals(clock.now - 12_000, job.beginWrite("w2").cancelledMs)
+    }
+
+    @Test
+    fun `silence is a cut where it is a zone's, and a machine's own elsewhere`() {
+        class Case(val name: String, val heardMs: List<Long?>, val isCut: Boolean, val suspects: Int)
+
+        val silent = timing.suspectMs + 1
+        val cases = listOf(
+            Case("all heard", listOf(0, 500, 900, 100, 0, 0), false, 0),
+            Case("a few hang", listOf(silent, silent, 0, 0, 0, 0), false, 2),
+            Case("the first of a cut", listOf(silent) + List(5) { timing.cutSignMs + 1 }, true, 1),
+            Case("behind a cut since before this leader", List(6) { null }, true, 0),
+            Case("one alone", listOf(silent), false, 1),
+        )
+        for (case in cases) {
+            val hosts = case.heardMs.mapIndexed { index, ago ->
+                Machine(MachineId("host-$index"), 0).apply {
+                    zone = Zone("a")
+                    listed = MachineState.RUNNING
+                    heardAt = ago?.let { clock.now - it }
+                }
+            }
+            val hearing = Hearing(hosts, timing, clock.now - silent, clock.now)
+            assertEquals(case.isCut, hearing.isCut(Zone("a")), case.name)
+            assertEquals(case.suspects, hearing.suspects.size, case.name)
+        }
+    }
+
     private object NoCloud : CloudPort {
         override fun types(done: (List<MachineType>?) -> Unit) = Unit
 
