Stand-ins for twelve more meetings; final answers at once, and passed on by whoever reads them

The stand-ins learn transactions without an answer (at once, or late after newer ones), copies of reports and copies for the next leader, mute workers, users who look closely at every controller, cancellations by the handful, hanging machines of cancelled work, early boots. A slow answer to an accepted job no longer says queued when its cancellation is known; a cancellation of what is final is answered at once, also in an outage.

--- a/src/main/kotlin/oxbowlug/core/Cancellations.kt
+++ b/src/main/kotlin/oxbowlug/core/Cancellations.kt
@@ -111,7 +111,12 @@
         val ageMs = record.cancelledMs?.let { clock.wallMs() - it + settings.skewMs.toLong() } ?: 0
         val duty = Duty(cancellation, isOwn, now, now - ageMs.coerceIn(0, timing.cancelMs))
         duties[cancellation.id] = duty
-        if (isOwn) for (peer in settings.peers) peers.send(peer.label, PeerWord.Cancelled(self, cancellation))
+        for (peer in settings.peers) {
+            // Others may confirm it as well, from what they read, and end right after.
+            if (isOwn || outlook.isWithoutState(peer.label)) {
+                peers.send(peer.label, PeerWord.Cancelled(self, cancellation))
+            }
+        }
     }
 
     fun tick() {
--- a/src/main/kotlin/oxbowlug/core/Desk.kt
+++ b/src/main/kotlin/oxbowlug/core/Desk.kt
@@ -84,7 +84,7 @@
             admission.leave(tookMs, outcome is CommitOutcome.Applied)
             meters.committed(tookMs)
             when (outcome) {
-                is CommitOutcome.Applied -> answer(UserAnswer.Accepted(JobView(spec.id, ShownState.QUEUED, 0, 0)))
+                is CommitOutcome.Applied -> answerAccepted(spec.id, answer)
                 is CommitOutcome.Conflict -> answerKnown(spec.id, answer)
                 CommitOutcome.Refused -> answer(unavailable("the state service is busy"))
                 CommitOutcome.Invalid -> answer(unavailable("the state service did not take it"))
@@ -94,6 +94,15 @@
         }
     }
 
+    /** Its answer may have been slow, and another controller may have confirmed the job's cancellation meanwhile. */
+    private fun answerAccepted(id: JobId, answer: (UserAnswer) -> Unit) {
+        val stored = replica.job(id)
+        if (stored != null && stored.phase.isFinal)
+            answer(UserAnswer.Known(stored.view(id)))
+        else
+            answer(UserAnswer.Accepted(JobView(id, ShownState.QUEUED, 0, 0)))
+    }
+
     private fun answerKnown(id: JobId, answer: (UserAnswer) -> Unit) {
         val stored = replica.job(id)
         if (stored != null && stored.phase.isFinal) return answer(UserAnswer.Known(stored.view(id)))
@@ -117,7 +126,14 @@
         }
     }
 
-    fun cancel(id: JobId, answer: (UserAnswer) -> Unit) = cancel(id, CANCEL_TRIES, answer)
+    fun cancel(id: JobId, answer: (UserAnswer) -> Unit) {
+        // Final is final: that can be told also while the state service is away.
+        val stored = replica.job(id)
+        if (stored != null && stored.phase.isFinal)
+            answer(UserAnswer.Known(stored.view(id)))
+        else
+            cancel(id, CANCEL_TRIES, answer)
+    }
 
     /** The cancellation is committed first and answered next; only then does the leader act on it. */
     private fun cancel(id: JobId, triesLeft: Int, answer: (UserAnswer) -> Unit) {
--- a/src/main/kotlin/oxbowlug/core/Outlook.kt
+++ b/src/main/kotlin/oxbowlug/core/Outlook.kt
@@ -6,12 +6,12 @@
  * after its end. One that alone is without it steps aside.
  */
 class Outlook(private val peers: Int, private val clock: Clock, private val timing: Timing) {
-    private class Heard(val sender: Member, val seesState: Boolean, val atMs: Long)
+    private class Heard(val sender: Member, val seesState: Boolean, val mayConfirm: Boolean, val atMs: Long)
 
     private val heard = HashMap<String, Heard>()
 
     fun hear(news: PeerNews) {
-        heard[news.sender.label] = Heard(news.sender, news.seesState, clock.steadyMs())
+        heard[news.sender.label] = Heard(news.sender, news.seesState, news.mayConfirm, clock.steadyMs())
     }
 
     /** The newest life of a controller that was heard. */
@@ -20,7 +20,7 @@
     fun isHeard(label: String): Boolean =
         heard[label]?.let { clock.steadyMs() - it.atMs < timing.peerNewsMs * 4 } ?: false
 
-    fun isWithoutState(label: String): Boolean = heard[label]?.seesState == false
+    fun isWithoutState(label: String): Boolean = heard[label]?.mayConfirm == false
 
     /** Also true while no other one is heard: then it is this one that is cut off. */
     fun someoneElseSeesState(): Boolean {
--- a/src/test/kotlin/oxbowlug/sim/SimulationTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimulationTest.kt
@@ -119,6 +119,62 @@
             }
         }
 
+        private fun Simulation.spell(atMs: Long, forMs: Long, begin: () -> Unit, end: () -> Unit) {
+            at(atMs) { begin() }
+            at(atMs + forMs) { end() }
+        }
+
+        private fun Simulation.lateWrites(share: Double, atMs: Long, forMs: Long) =
+            spell(atMs, forMs, { weather.lateWrites = share }, { weather.lateWrites = 0.0 })
+
+        private fun Simulation.unansweredWrites(share: Double, atMs: Long, forMs: Long) =
+            spell(atMs, forMs, { weather.unansweredWrites = share }, { weather.unansweredWrites = 0.0 })
+
+        private fun Simulation.lateReports(share: Double, atMs: Long, forMs: Long) =
+            spell(atMs, forMs, { weather.lateReports = share }, { weather.lateReports = 0.0 })
+
+        private fun Simulation.reportsForNext(share: Double, atMs: Long, forMs: Long) =
+            spell(atMs, forMs, { weather.reportsForNext = share }, { weather.reportsForNext = 0.0 })
+
+        private fun Simulation.deaf(count: Int, atMs: Long, forMs: Long) = at(atMs) {
+            cloud.workers.shuffled(world.random).take(count).forEach { it.deafUntil = atMs + forMs }
+        }
+
+        private fun Simulation.mute(count: Int, atMs: Long, forMs: Long) = at(atMs) {
+            cloud.workers.shuffled(world.random).take(count).forEach { it.muteUntil = atMs + forMs }
+        }
+
+        /** Users call off as many jobs that run at once; their machines may hang that long. */
+        private fun Simulation.cancelNow(count: Int, atMs: Long, hangMs: Long = 0) = at(atMs) {
+            val running = cloud.workers.flatMap { worker ->
+                worker.onMachine().map { it.attempt.task.job.value to worker }
+            }
+            val called = running.map { it.first }.distinct().take(count)
+            for (id in called) world.after(world.between(0, 200)) { cancel(id) }
+            if (hangMs > 0) running.filter { it.first in called }.forEach { it.second.hungUntil = atMs + hangMs }
+        }
+
+        /** Brief one-task jobs, four a second, a quarter of them cancelled. */
+        private fun Simulation.manySmall(atMs: Long, forMs: Long) {
+            for (index in 0 until forMs / 250) {
+                at(atMs + index * 250) {
+                    val spec = randomSpec("small-%06d".format(index)).copy(tasks = 1, spread = false, gpus = 1.0)
+                    submit(spec)
+                    if (index % 4 == 0L) world.after(world.between(200, 6_000)) { cancel(spec.id.value) }
+                }
+            }
+        }
+
+        private fun Simulation.leaderAlone(atMs: Long, forMs: Long) = at(atMs) {
+            val node = nodes[leaderIndex()]
+            node.withoutState = true
+            node.withoutPeers = true
+            world.after(forMs) {
+                node.withoutState = false
+                node.withoutPeers = false
+            }
+        }
+
         private fun Simulation.cutZone(index: Int, atMs: Long, forMs: Long) = at(atMs) {
             weather.cutZones.add(zones[index])
             world.after(forMs) { weather.cutZones.remove(zones[index]) }
@@ -212,6 +268,76 @@
                 }
                 day.at(60_000) { cloud.down = false }
             },
+            Trouble("answers of transactions are lost while users look closely and the leader ends") { day ->
+                day.closeLooks = 0.3
+                day.unansweredWrites(0.3, 20_000, 60_000)
+                day.crashLeader(40_000, 5_000)
+                day.crashLeader(60_000, 300)
+            },
+            Trouble("transactions are carried out late while the leader ends") { day ->
+                day.lateWrites(0.2, 20_000, 60_000)
+                day.crashLeader(35_000, 5_000)
+                day.crashLeader(55_000, 300)
+            },
+            Trouble("new machines are up at once, get work while writes are late, and the leader ends") { day ->
+                day.bootMs = 500
+                day.lateWrites(0.2, 20_000, 70_000)
+                for (ms in 25_000L..75_000L step 10_000) {
+                    day.at(ms) { repeat(4) { submit(randomSpec("boot-%03d%03d".format(ms / 1000, it))) } }
+                    day.crashLeader(ms + 2_000, 300)
+                }
+            },
+            Trouble("copies of reports come late and for the next leader, from earlier sessions too") { day ->
+                day.lateReports(0.2, 15_000, 80_000)
+                day.reportsForNext(0.1, 15_000, 80_000)
+                day.hang(26_000, 12_000)
+                day.hang(40_000, 12_000)
+                for (ms in 30_000L..80_000L step 10_000) day.crashLeader(ms, 1_000)
+            },
+            Trouble("one-task jobs come four a second, and a quarter is cancelled") { day ->
+                day.manySmall(20_000, 60_000)
+                day.crashLeader(50_000, 1_000)
+            },
+            Trouble("machines hear nothing while jobs are cancelled and the leader ends") { day ->
+                day.deaf(4, 30_000, 30_000)
+                day.cancelNow(4, 33_000)
+                day.crashLeader(36_000, 5_000)
+            },
+            Trouble("machines reach no controller, direct commands reach them, jobs are cancelled") { day ->
+                day.mute(4, 30_000, 30_000)
+                day.cancelNow(4, 33_000)
+                day.crashLeader(38_000, 5_000)
+            },
+            Trouble("jobs are cancelled, their machines hang and go on, and the leader ends") { day ->
+                day.cancelNow(6, 30_000, hangMs = 8_000)
+                day.crashLeader(32_000, 5_000)
+                day.cancelNow(6, 60_000, hangMs = 25_000)
+                day.crashLeader(61_000, 300)
+            },
+            Trouble("the leader is cut from state service and peers while jobs are cancelled") { day ->
+                day.closeLooks = 0.2
+                day.leaderAlone(30_000, 30_000)
+                day.cancelNow(6, 36_000)
+                day.cancelNow(4, 50_000)
+            },
+            Trouble("jobs are cancelled in the seconds in which the work changes hands") { day ->
+                day.closeLooks = 0.2
+                for (ms in 30_000L..70_000L step 20_000) {
+                    day.crashLeader(ms, 5_000)
+                    for (later in 0L..6_000L step 500) day.cancelNow(1, ms + later)
+                }
+            },
+            Trouble("leaders change ten times, also inside an outage") { day ->
+                for (index in 0..9) day.crashLeader(20_000L + index * 10_000, if (index % 2 == 0) 400 else 4_000)
+                day.spell(52_000, 20_000, { day.store.down = true }, { day.store.down = false })
+            },
+            Trouble("machines are cut off at the teams' limits, jobs are cancelled and the leader changes") { day ->
+                day.users(everyMs = 900, untilMs = 80_000)
+                day.cutZone(0, 40_000, 22_000)
+                day.cancelNow(5, 43_000)
+                day.crashLeader(46_000, 5_000)
+                day.hang(50_000, 9_000)
+            },
             Trouble("everything at once") { day ->
                 day.stormy(lost = 0.03, late = 0.03)
                 day.crashLeader(25_000, 5_000)
