--- a/src/test/kotlin/oxbowlug/sim/SimWorker.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimWorker.kt
@@ -110,7 +110,8 @@
         var answered = false
         onSent(message)
         world.after(world.between(1, 20)) {
-            if (world.nowMs >= muteUntil) target.receive(message) { answer ->
+            if (world.nowMs < muteUntil) return@after
+            target.receive(message) { answer ->
                 world.after(world.between(1, 20)) {
                     if (!answered && world.nowMs < sentAt + ANSWER_MS) {
                         answered = true
