Holds after errors and deafness decay before work would be left waiting

A job that had failed on many machines paused for up to 64 half leases, avoided each of them for 12 leases, and a machine that once didn't take a start got no work until it showed it. Now at most 3 and 4 leases, and 2. FleetTest bounds the longest.

--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -173,7 +173,7 @@
             if (seen != null) {
                 placed.answeredAt = null
                 placed.inherited = false
-                host.deaf = false
+                host.deafUntil = 0L
                 takeSeen(host, placed, seen, now)
                 continue
             }
@@ -188,7 +188,7 @@
             } else if (hello && placed.isOverdue(now, timing.workerLeaseRawMs)) {
                 // Its reports arrive, but what we say does not: the work goes elsewhere.
                 log.info("{} does not take {}", host.id, placed.attempt)
-                host.deaf = true
+                host.deafUntil = now + timing.deafMs
                 remove(placed)
             }
         }
@@ -362,7 +362,7 @@
         if (host.failedJobs.size >= JOBS_TO_SUSPECT_MACHINE) host.quarantined = true
         if (job.failedOn.size >= MACHINES_TO_SUSPECT_JOB) {
             val doublings = (job.failedOn.size - MACHINES_TO_SUSPECT_JOB).coerceAtMost(MAX_DOUBLINGS)
-            job.holdUntil = now + (timing.errorPauseMs shl doublings)
+            job.holdUntil = now + minOf(timing.errorPauseMs shl doublings, timing.errorPauseMaxMs)
         }
     }
 
--- a/src/main/kotlin/oxbowlug/core/Machine.kt
+++ b/src/main/kotlin/oxbowlug/core/Machine.kt
@@ -46,7 +46,7 @@
     var emptying = false
 
     /** It reports, but doesn't do what it is told: our answers and commands don't reach it. */
-    var deaf = false
+    var deafUntil = 0L
     val failedJobs = HashSet<String>()
 
     val live = LinkedHashMap<Attempt, Live>()
--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -142,7 +142,7 @@
     ): PlanMachine? {
         val type = types[host.type ?: return null] ?: return null
         val zone = host.zone ?: return null
-        val isUnfit = host.returning || host.emptying || host.quarantined || host.deaf || host.lost
+        val isUnfit = host.returning || host.emptying || host.quarantined || now < host.deafUntil || host.lost
         if (isUnfit || host.noticeUntil != null) return null
         val readyInS = readyInS(host, type, now) ?: return null
         return PlanMachine(
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -94,9 +94,16 @@
     val listAgeMs: Long = (settings.cloud.listLagS * 2000.0 * 1.1).toLong() + 1000
     val listEveryMs: Long = maxOf((settings.cloud.listLagS * 500.0).toLong(), (4000.0 / settings.cloud.rps).toLong())
 
-    /** A machine on which a job failed is avoided by it this long; a job that fails everywhere pauses, doubling. */
-    val avoidMs: Long = workerLeaseRawMs * 12
+    /**
+     * A machine on which a job failed is avoided by it this long; a job that fails everywhere pauses, doubling. Both
+     * end well before somebody would call the job left waiting beside a machine with room.
+     */
+    val avoidMs: Long = workerLeaseRawMs * 4
     val errorPauseMs: Long = workerLeaseRawMs / 2
+    val errorPauseMaxMs: Long = workerLeaseRawMs * 3
+
+    /** A machine that didn't take what it was told isn't given more for as long as that took to show. */
+    val deafMs: Long = workerLeaseRawMs * 2
     val refusedPauseMs: Long = reportMs.toLong() * 3
 
     /** Ends of tasks wait this long for others of the same job, so that they share a write. */
--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -226,6 +226,9 @@
         assertEquals(0, pauses.first(), "two machines don't make it the job's fault")
         assertEquals(pauses.sorted(), pauses, "the pause grows")
         assertTrue(pauses.last() > pauses[1])
+        for (index in 7..30) Failures.onError(Machine(MachineId("host-$index"), 0), job, clock.now, timing)
+        val longest = maxOf(job.holdUntil - clock.now, timing.avoidMs)
+        assertTrue(longest <= 75_000, "after the trouble it would be left waiting for $longest ms beside free room")
     }
 
     @Test
