Tasks on machines of unknown zone count in every zone until it is known

So more than half of a spread job came into one zone, and a one-zone job could have been split. They now count in every zone, and a one-zone job waits until it is known. Ruled out: the reading of zones from reports and lists, which was right.

--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -48,7 +48,7 @@
             }
         }
         val machines = ArrayList<PlanMachine>(fleet.machines.size)
-        val zoneUses = ZoneUses(fleet)
+        val zoneUses = ZoneUses(fleet, settings.zones)
         val pledges = pledges()
         for (host in fleet.machines.values) machine(host, types, zoneUses, pledges, now)?.let(machines::add)
         for (order in rentals.ordered) addOrdered(order, types, now, machines)
@@ -85,6 +85,7 @@
         if (job.phase != Phase.ACTIVE || now < job.holdUntil) return null
         // A gang starts again only as a whole: what is left of it ends by itself when its mates are gone.
         if (job.spec.kind == JobKind.GANG && job.live.isNotEmpty()) return null
+        if (job.spec.oneZone && !zoneUses.isKnown(job)) return null
         val pending = job.pendingTasks(minOf(MAX_TASKS_PER_ROUND, recordRoom(job)))
         if (pending.isEmpty()) return null
         job.avoid.values.removeIf { it <= now }
@@ -289,14 +290,23 @@
 }
 
 /** Where the tasks of each job are, counted once a plan: tenants of one job on many machines all ask for it. */
-class ZoneUses(private val fleet: Fleet) {
+class ZoneUses(private val fleet: Fleet, private val zones: List<Zone>) {
     private val known = HashMap<JobId, Map<Zone, Int>>()
 
+    /** A new leader may know from the records of a machine that it hasn't heard and that no list shows yet. */
+    fun isKnown(job: Job): Boolean = job.live.values.all { zoneOf(it) != null }
+
+    /** What is somewhere unknown may be in any zone, so it counts in each: left out, it would break the job's rule. */
     fun of(job: Job): Map<Zone, Int> = known.getOrPut(job.id) {
         val use = HashMap<Zone, Int>()
-        for (placed in job.live.values) fleet.machines[placed.machine]?.zone?.let { use.merge(it, 1, Int::plus) }
+        for (placed in job.live.values) {
+            val zone = zoneOf(placed)
+            if (zone != null) use.merge(zone, 1, Int::plus) else zones.forEach { use.merge(it, 1, Int::plus) }
+        }
         use
     }
+
+    private fun zoneOf(placed: Live): Zone? = fleet.machines[placed.machine]?.zone
 }
 
 /** Tardiness weights: the shorter the wait that the objectives allow a class, the dearer each second of it. */
--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -286,6 +286,19 @@
         }
     }
 
+    @Test
+    fun `tasks on a machine of which nothing is known yet count in every zone`() {
+        // Found by the simulation: a new leader left them out, and more than half of a spread job came into one zone.
+        take(record(), 1)
+        val uses = ZoneUses(fleet, settings.zones)
+        assertEquals(settings.zones.associateWith { 1 }, uses.of(job))
+        assertFalse(uses.isKnown(job))
+        hello(report(1))
+        val known = ZoneUses(fleet, settings.zones)
+        assertEquals(mapOf(fleet.machines.getValue(machine).zone to 1), known.of(job))
+        assertTrue(known.isKnown(job))
+    }
+
     private object NoCloud : CloudPort {
         override fun types(done: (List<MachineType>?) -> Unit) = Unit
 
