--- a/src/test/kotlin/oxbowlug/sim/Rules.kt
+++ b/src/test/kotlin/oxbowlug/sim/Rules.kt
@@ -19,6 +19,9 @@
 
         /** When a user heard that it is over. */
         var finalSince: Long? = null
+        /** When a user last got an answer about it. */
+        var answeredAt = 0L
+        var firstStartAt: Long? = null
         val done = HashSet<Int>()
         val started = HashSet<Int>()
 
@@ -49,6 +52,7 @@
         if (job.cancelledAt != null) startsAfterCancellation++
         val spec = job.spec
         job.started.add(attempt.task.index)
+        if (job.firstStartAt == null) job.firstStartAt = world.nowMs
         var inZone = 1
         job.places.add(machine)
         for (other in job.places) {
@@ -89,6 +93,7 @@
     /** What a user was told who had asked at [askedMs]. */
     fun told(id: String, answer: UserAnswer, askedMs: Long) {
         val job = jobs[id]
+        if (answer is UserAnswer.Accepted || answer is UserAnswer.Known) job?.answeredAt = world.nowMs
         when (answer) {
             is UserAnswer.Accepted -> toldAccepted(id, jobs.getValue(id), askedMs)
             is UserAnswer.Known -> if (job == null) fail("invented", id) else toldState(id, job, answer.view, askedMs)
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/RulesTest.kt
@@ -0,0 +1,201 @@
+package oxbowlug.sim
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import oxbowlug.core.UserAnswer
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.JobSpec
+import oxbowlug.wire.JobSpecCodec
+import oxbowlug.wire.JobSpecCodecTest
+import oxbowlug.wire.JobView
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.ShownState
+import oxbowlug.wire.TaskId
+import oxbowlug.wire.TeamName
+import oxbowlug.wire.Token
+import oxbowlug.wire.TypeName
+import oxbowlug.wire.WorkerCommand
+import oxbowlug.wire.Zone
+
+/** The checkers themselves: each of them fires in the case that it is there for, and not beside it. */
+class RulesTest {
+    private val world = World(1)
+    private val rules = Rules(world, mapOf("red" to 4.0), CANCEL_MS)
+    private val zones = listOf(Zone("a"), Zone("b"))
+    private val type = MachineType(TypeName("g8"), 64.0, 8.0, 256.0, 200.0, 2.0, 20.0, 8.0, 8.0, zones)
+    private val workers = List(3) { index ->
+        SimWorker(
+            world, Book(), { emptyList() }, MachineId("host-00000$index"), type, zones[index % 2], false,
+            leaseMs = 1_000_000, reportMs = 1_000,
+        )
+    }
+    private val serving = Serving(world, rules, { workers }, mapOf("red" to 4.0), 0)
+    private val spec = JobSpecCodec.decode(JobSpecCodecTest.valid()).copy(
+        id = JobId("run-1"), team = TeamName("red"), kind = JobKind.SERVICE, tasks = 3, cores = 1.0,
+        gpus = 1.0, memoryGb = 1.0, imageGb = 0.0, types = null, zone = null, oneZone = false, spread = false,
+    )
+
+    private inner class Book : JobBook {
+        override fun spec(job: String): JobSpec? = rules.jobs[job]?.spec
+
+        override fun runMs(job: String): Long = 10_000_000
+
+        override fun onStarted(machine: SimWorker, attempt: Attempt) = rules.started(machine, attempt)
+
+        override fun onDone(attempt: Attempt) = rules.done(attempt)
+    }
+
+    private fun submit(given: JobSpec = spec) {
+        rules.jobs[given.id.value] = Rules.Known(given)
+        rules.told(given.id.value, UserAnswer.Accepted(view(ShownState.QUEUED)), world.nowMs)
+    }
+
+    private fun view(state: ShownState) = JobView(spec.id, state, 0, 0)
+
+    private fun tell(state: ShownState, askedMs: Long = world.nowMs) =
+        rules.told(spec.id.value, UserAnswer.Known(view(state)), askedMs)
+
+    private fun start(task: Int, host: Int, attempt: Long = 1) {
+        val command = WorkerCommand.Start(Attempt(TaskId(spec.id, task), attempt))
+        workers[host].direct(Token(1), 1, listOf(command)) { _, _ -> }
+        pass(1)
+    }
+
+    /** Time goes on with events only. */
+    private fun pass(ms: Long) {
+        world.after(ms) {}
+        world.runUntil(world.nowMs + ms)
+    }
+
+    private fun cancel() {
+        rules.jobs.getValue(spec.id.value).askedToCancel = true
+        tell(ShownState.CANCELLED)
+    }
+
+    @Test
+    fun `each rule fires where it is broken, and only there`() {
+        class Case(val rule: String?, val name: String, val play: () -> Unit)
+        val cases = listOf(
+            Case(null, "all is well") {
+                repeat(3) { start(it, it) }
+                rules.check(workers)
+            },
+            Case("ran_twice", "a task on two machines") {
+                start(0, 0)
+                start(0, 1, attempt = 2)
+            },
+            Case("quota", "more than the team's limit") {
+                submit(spec.copy(gpus = 2.0))
+                repeat(3) { start(it, 0) }
+                rules.check(workers)
+            },
+            Case("wrong_place", "more than half in a zone") {
+                submit(spec.copy(spread = true))
+                repeat(3) { start(it, 0) }
+            },
+            Case("wrong_place", "two zones of a job for one") {
+                submit(spec.copy(oneZone = true))
+                repeat(2) { start(it, it) }
+            },
+            Case("ran_cancelled", "still there") {
+                start(0, 0)
+                cancel()
+                pass(CANCEL_MS + 1)
+                rules.check(workers)
+            },
+            Case("ran_cancelled", "starts too late") {
+                cancel()
+                pass(CANCEL_MS + 1)
+                start(0, 0)
+            },
+            Case(null, "gone in time") {
+                cancel()
+                pass(CANCEL_MS + 1)
+                rules.check(workers)
+            },
+            Case("forgotten", "404") { rules.told(spec.id.value, UserAnswer.NotFound, world.nowMs) },
+            Case("forgotten", "422") { rules.told(spec.id.value, UserAnswer.Rejected("no"), world.nowMs) },
+            Case("invented", "200 for nobody's job") {
+                rules.told("run-2", UserAnswer.Known(view(ShownState.QUEUED)), world.nowMs)
+            },
+            Case("not_done", "done before its tasks") { tell(ShownState.DONE) },
+            Case("went_back", "cancelled by nobody") { tell(ShownState.CANCELLED) },
+            Case("went_back", "running again") {
+                cancel()
+                pass(10)
+                tell(ShownState.RUNNING)
+            },
+            Case(null, "an answer that crosses the cancellation") {
+                pass(10)
+                cancel()
+                tell(ShownState.RUNNING, askedMs = world.nowMs - 5)
+            },
+            Case("went_back", "accepted once more") {
+                cancel()
+                pass(10)
+                rules.told(spec.id.value, UserAnswer.Accepted(view(ShownState.QUEUED)), world.nowMs)
+            },
+        )
+        for (case in cases) {
+            rules.broken.clear()
+            rules.jobs.clear()
+            for (worker in workers) worker.tasks.clear()
+            submit()
+            case.play()
+            val fired = rules.broken.map { it.substringAfter("ms ").substringBefore(':') }.distinct()
+            assertEquals(listOfNotNull(case.rule), fired, case.name)
+        }
+    }
+
+    @Test
+    fun `spells without an answer, beside free room, and unserved groups are seen`() {
+        submit()
+        pass(74_000)
+        serving.look()
+        assertEquals(emptyList<String>(), serving.broken)
+        pass(2_000)
+        serving.look()
+        assertEquals(listOf("forgotten: run-1, by all"), serving.broken.map { it.substringAfter("ms ") })
+        serving.broken.clear()
+        tell(ShownState.QUEUED)
+        pass(70_000)
+        serving.look()
+        assertEquals(emptyList<String>(), serving.broken, "seen waiting since the first look only")
+        pass(3_000)
+        tell(ShownState.QUEUED)
+        pass(20_000)
+        serving.look()
+        assertEquals(listOf("left waiting: run-1 beside free room"), serving.broken.map { it.substringAfter("ms ") })
+        val unserved = listOf("class ${spec.className}", "team red", "largest ${spec.className}")
+        assertEquals(unserved.map { "$it: less than half served" }, serving.neglected())
+        repeat(3) { start(it, it) }
+        serving.broken.clear()
+        pass(1_000)
+        serving.look()
+        assertEquals(emptyList<String>(), serving.broken + serving.neglected())
+    }
+
+    @Test
+    fun `a job at its team's limit isn't left waiting, and the largest have to begin in time`() {
+        submit(spec.copy(tasks = 5))
+        repeat(4) { start(it, 0) }
+        serving.look()
+        pass(100_000)
+        tell(ShownState.RUNNING)
+        serving.look()
+        assertEquals(emptyList<String>(), serving.broken)
+        rules.jobs.clear()
+        for (worker in workers) worker.tasks.clear()
+        submit()
+        pass(250_000)
+        repeat(3) { start(it, it) }
+        assertEquals(listOf("run-1: among the largest, began too late"), serving.neglected())
+    }
+
+    private companion object {
+        const val CANCEL_MS = 30_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/Serving.kt
@@ -0,0 +1,85 @@
+package oxbowlug.sim
+
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.ShownState
+
+/**
+ * What the users count beside the protocol's rules once all troubles are over: jobs about which nobody answers, jobs
+ * left waiting beside a machine that fits, and classes, teams and largest jobs of which too few were served.
+ */
+class Serving(
+    private val world: World,
+    private val rules: Rules,
+    private val workers: () -> List<SimWorker>,
+    private val limits: Map<String, Double>,
+    private val calmFromMs: Long,
+) {
+    private val besideRoomSince = HashMap<String, Long>()
+    val broken = ArrayList<String>()
+
+    fun watch() = world.every(1_000) { look() }
+
+    fun look() {
+        if (world.nowMs < calmFromMs) return
+        for ((id, job) in rules.jobs) {
+            if (!job.accepted || job.askedToCancel || job.told == ShownState.DONE) continue
+            val answeredAt = maxOf(job.answeredAt, calmFromMs)
+            if (world.nowMs - answeredAt > UNANSWERED_MS) broken.add("${world.nowMs} ms forgotten: $id, by all")
+            if (!waitsBesideRoom(id, job)) {
+                besideRoomSince.remove(id)
+            } else if (world.nowMs - besideRoomSince.getOrPut(id) { world.nowMs } > LEFT_WAITING_MS) {
+                broken.add("${world.nowMs} ms left waiting: $id beside free room")
+            }
+        }
+    }
+
+    private fun waitsBesideRoom(id: String, job: Rules.Known): Boolean {
+        val running = workers().filter { it.alive }.flatMap { host ->
+            host.tasks.values.filter { it.cause == null && it.attempt.task.job.value == id }
+                .map { it.attempt.task to host }
+        }.toMap()
+        if (running.size + job.done.size >= job.spec.tasks) return false
+        val team = job.spec.team.value
+        val used = workers().flatMap { it.onMachine() }
+            .mapNotNull { rules.jobs[it.attempt.task.job.value]?.spec }
+            .filter { it.team.value == team }
+            .sumOf { it.gpus }
+        if (used + job.spec.gpus > (limits[team] ?: Double.MAX_VALUE)) return false
+        return workers().any { fits(job, it, running.values) }
+    }
+
+    private fun fits(job: Rules.Known, host: SimWorker, others: Collection<SimWorker>): Boolean {
+        val spec = job.spec
+        if (!host.alive || host.isHung || host.spot && !spec.spot) return false
+        if (spec.zone != null && spec.zone != host.zone) return false
+        if (spec.types?.contains(host.type.name) == false) return false
+        if (spec.oneZone && others.any { it.zone != host.zone }) return false
+        if (others.count { it.zone == host.zone } >= spec.zoneCap) return false
+        return host.hasRoomFor(spec)
+    }
+
+    /** Classes, teams and largest jobs of which less than half is served, or that began too late. */
+    fun neglected(): List<String> {
+        val jobs = rules.jobs.values.filter { it.accepted && !it.askedToCancel }
+        val groups = jobs.groupBy { "class ${it.spec.className}" } + jobs.groupBy { "team ${it.spec.team}" } +
+            largest(jobs).groupBy { "largest ${it.spec.className}" }
+        val few = groups.filterValues { group -> group.count(::isServed) * 2 < group.size }.keys
+        val late = largest(jobs).filter { job ->
+            val acceptedAt = job.acceptedAt ?: return@filter false
+            (job.firstStartAt ?: world.nowMs) - acceptedAt > LARGEST_BEGIN_MS
+        }
+        return few.map { "$it: less than half served" } + late.map { "${it.spec.id}: among the largest, began too late" }
+    }
+
+    private fun largest(jobs: List<Rules.Known>) = jobs.groupBy { it.spec.className }.values
+        .flatMap { group -> group.filter { job -> job.spec.tasks == group.maxOf { it.spec.tasks } } }
+
+    private fun isServed(job: Rules.Known): Boolean =
+        if (job.spec.kind == JobKind.ARRAY) job.told == ShownState.DONE else job.started.size == job.spec.tasks
+
+    private companion object {
+        const val UNANSWERED_MS = 75_000L
+        const val LEFT_WAITING_MS = 90_000L
+        const val LARGEST_BEGIN_MS = 240_000L
+    }
+}
--- a/src/test/kotlin/oxbowlug/sim/SimWorker.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimWorker.kt
@@ -209,6 +209,8 @@
         }
     }
 
+    fun hasRoomFor(spec: JobSpec): Boolean = fits(spec, tasks.values.filter { it.state != TaskState.EXITED })
+
     private fun fits(spec: JobSpec, others: List<Running>): Boolean {
         val specs = others.mapNotNull { book.spec(it.attempt.task.job.value) }
         return specs.sumOf { it.cores } + spec.cores <= type.cores + 1e-6 &&
--- a/src/test/kotlin/oxbowlug/sim/Simulation.kt
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -43,6 +43,8 @@
     val checkEveryMs: Long = 0,
     val reportMs: Long = 1000,
     val leaseMs: Long = 10_000,
+    /** From then on all troubles are over. */
+    val calmFromMs: Long = 125_000,
 )
 
 /** Controllers, a cloud, workers, a state service and users, on virtual time with one seed. */
@@ -64,6 +66,7 @@
     /** Machines are up after this long instead of their types' time. */
     var bootMs: Long? by cloud::bootMs
     val rules = Rules(world, shape.teamLimits, CANCEL_MS)
+    val serving = Serving(world, rules, { cloud.workers }, shape.teamLimits, shape.calmFromMs)
     val nodes: List<SimNode> = List(shape.nodes) { index ->
         SimNode(world, settings(index), store, cloud, weather, ::byEndpoint, ::peers)
     }
@@ -83,6 +86,7 @@
         }
         for (node in nodes) world.after(world.between(0, 300)) { node.start() }
         world.every(100) { bringKept() }
+        serving.watch()
         repeat(shape.jobsAtStart) {
             world.after(world.between(2_000, 6_000)) { submitNext() }
         }
--- a/src/test/kotlin/oxbowlug/sim/SimulationTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimulationTest.kt
@@ -31,6 +31,8 @@
             day.run(260_000)
             assertEquals(emptyList<String>(), day.rules.broken.take(5), "$trouble, seed $seed")
             assertTrue(day.rules.starts > 20, "$trouble, seed $seed: only ${day.rules.starts} starts")
+            assertEquals(emptyList<String>(), day.serving.broken.take(5), "$trouble, seed $seed")
+            assertEquals(emptyList<String>(), day.serving.neglected(), "$trouble, seed $seed")
             assertEquals(emptyList<String>(), day.rules.unfinished(), "$trouble, seed $seed: not served")
             assertEquals(UserAnswer.NotFound, unknown, "$trouble, seed $seed: a job nobody submitted")
         }
