--- a/src/main/kotlin/oxbowlug/core/Desk.kt
+++ b/src/main/kotlin/oxbowlug/core/Desk.kt
@@ -210,6 +210,9 @@
                 need.fitsIn(type.amounts())
         }
         if (!fits) return "a task fits no allowed machine type"
+        if (spec.kind != JobKind.ARRAY && spec.oneZone && spec.zoneCap < spec.tasks) {
+            return "its tasks have to be in one zone, and at most half of them may be"
+        }
         val atOnce = if (spec.kind == JobKind.ARRAY) 1 else spec.tasks
         val overLimit = spec.cores * atOnce > team.maxCores || spec.gpus * atOnce > team.maxGpus
         return if (overLimit) "needs more than the team's limit" else null
