--- a/src/test/kotlin/oxbowlug/sim/GapTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/GapTest.kt
@@ -61,6 +61,19 @@
             }
         }
 
+        fun leaveAllTo(one: SimNode) {
+            for (node in day.nodes) {
+                node.withoutWorkers = node !== one
+                node.withoutCloud = node !== one
+            }
+            at(47_000) {
+                for (node in day.nodes) {
+                    node.withoutWorkers = false
+                    node.withoutCloud = false
+                }
+            }
+        }
+
         fun refuse(forMs: Long) {
             leader.withoutState = true
             day.world.after(forMs) { leader.withoutState = false }
@@ -168,6 +181,21 @@
             Case("machines that hold cancelled work hear nothing", runsOn = false) {
                 at(400) { hosts(cancelled.first()).forEach { it.deafUntil = day.world.nowMs + 60_000 } }
             },
+            Case("only the old leader reaches workers, and learns of it when it no longer leads") {
+                leaveAllTo(leader)
+                leader.withoutPeers = true
+                at(6_000) { leader.withoutPeers = false }
+            },
+            Case("only the old leader reaches the cloud, and machines of cancelled work hear nothing", runsOn = false) {
+                leaveAllTo(leader)
+                leader.withoutPeers = true
+                at(6_000) { leader.withoutPeers = false }
+                at(400) { hosts(cancelled.first()).forEach { it.deafUntil = day.world.nowMs + 7_000 } }
+                // Each time within the lease, and not awake for long enough to take an order.
+                for (ms in 7_500L..44_000L step 8_000) {
+                    at(ms) { hosts(cancelled.first()).forEach { it.hungUntil = day.world.nowMs + 7_950 } }
+                }
+            },
             Case("machines that hold cancelled work hang again and again", runsOn = false) {
                 // Each time within the lease, and never awake for long enough to take an order.
                 val hosts = hosts(cancelled.first())
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -81,6 +81,9 @@
     /** Cut from the workers alone. */
     var withoutWorkers = false
 
+    /** Cut from the cloud alone. */
+    var withoutCloud = false
+
     /** Cut from the other controllers alone. */
     var withoutPeers = false
 
@@ -242,7 +245,7 @@
 
         override fun release(lease: Long) = call(::stateUp, Unit, Unit, {}) { store.release(lease) }
 
-        private fun cloudUp() = !cloud.down && !weather.apart(zone, null)
+        private fun cloudUp() = !cloud.down && !withoutCloud && !weather.apart(zone, null)
 
         override fun types(done: (List<MachineType>?) -> Unit) =
             call<List<MachineType>?>(::cloudUp, null, null, done) { cloud.types }
