--- a/src/test/kotlin/oxbowlug/sim/Rules.kt
+++ b/src/test/kotlin/oxbowlug/sim/Rules.kt
@@ -19,6 +19,7 @@
 
         /** When a user heard that it is over. */
         var finalSince: Long? = null
+
         /** When a user last got an answer about it. */
         var answeredAt = 0L
         var firstStartAt: Long? = null
--- a/src/test/kotlin/oxbowlug/sim/Serving.kt
+++ b/src/test/kotlin/oxbowlug/sim/Serving.kt
@@ -68,11 +68,14 @@
             val acceptedAt = job.acceptedAt ?: return@filter false
             (job.firstStartAt ?: world.nowMs) - acceptedAt > LARGEST_BEGIN_MS
         }
-        return few.map { "$it: less than half served" } + late.map { "${it.spec.id}: among the largest, began too late" }
+        val neglected = few.map { "$it: less than half served" }
+        return neglected + late.map { "${it.spec.id}: among the largest, began too late" }
     }
 
-    private fun largest(jobs: List<Rules.Known>) = jobs.groupBy { it.spec.className }.values
-        .flatMap { group -> group.filter { job -> job.spec.tasks == group.maxOf { it.spec.tasks } } }
+    private fun largest(jobs: List<Rules.Known>): List<Rules.Known> {
+        val most = jobs.groupBy { it.spec.className }.mapValues { (_, group) -> group.maxOf { it.spec.tasks } }
+        return jobs.filter { it.spec.tasks == most[it.spec.className] }
+    }
 
     private fun isServed(job: Rules.Known): Boolean =
         if (job.spec.kind == JobKind.ARRAY) job.told == ShownState.DONE else job.started.size == job.spec.tasks
