A new leader shows its token only where the former one may be alive and unheard, and at a pace

It now begins after half a lease, paced over that time, and not at all if the former leader has a later life or is heard. Others act on cancelled work after 0.2 of cancel_s for 0.1, so that takeovers are over by then.

--- a/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
+++ b/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
@@ -41,6 +41,7 @@
         gauge("oxbowlug.commit.backlog") { core.commitBacklog }
         gauge("oxbowlug.tasks.waiting") { core.waitingTasks }
         gauge("oxbowlug.machines") { core.machineCount }
+        gauge("oxbowlug.cancellations.open") { core.openCancellations }
         gauge("oxbowlug.rate.writes.left") { core.writesLeft }
         gauge("oxbowlug.rate.cloud.left") { core.cloudCallsLeft }
         gauge("oxbowlug.epoch") { core.epoch }
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -68,6 +68,7 @@
     val machineCount: Int get() = leader?.fleet?.machines?.size ?: 0
     val writesLeft: Double get() = leaderWrites.available(clock.steadyMs())
     val cloudCallsLeft: Double get() = cloudBudget.available(clock.steadyMs())
+    val openCancellations: Int get() = cancellations.open.count { !it.hasEnded }
     val epoch: Long get() = replica.view?.epoch ?: 0
     val isLeading: Boolean get() = authority.role() is Role.Leader
 
@@ -253,12 +254,21 @@
         log.info("leading at epoch {}", view.epoch)
         val next = Leader(
             view, names, settings, state, cloud, workers, clock, timing, replica, leaderWrites, cloudBudget, load,
-            rememberedImages,
+            rememberedImages, ::mayFormerLeaderAnswer,
         )
         leader = next
         return next
     }
 
+    /** One that has a later life has ended, and one that is heard hears of its successor as well. */
+    private fun mayFormerLeaderAnswer(): Boolean {
+        val former = replica.formerLeader ?: return false
+        val life = outlook.lifeOf(former.label)
+        val hasEnded = former.label == self.label || life != null && life != former ||
+            replica.members().any { it.label == former.label && it != former }
+        return !hasEnded && !outlook.isHeard(former.label)
+    }
+
     private fun fetchTypes() {
         fetchingTypes = true
         cloud.types { fetched ->
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -30,6 +30,7 @@
     cloudBudget: RateBudget,
     private val load: Load,
     rememberedImages: Map<MachineId, List<ImageName>>,
+    mayBeAnswered: () -> Boolean,
 ) {
     private val startedAt = clock.steadyMs()
     val fleet = Fleet(view.token, clock, timing, Arrivals(settings, timing.arrivalsMs), rememberedImages)
@@ -38,7 +39,7 @@
     private val rentals = Rentals(names, settings, cloud, clock, timing, cloudBudget, fleet)
     private val planning = Planning(settings, clock, timing, fleet, rentals, startedAt)
     private val tokenSpread =
-        TokenSpread(fleet, workers, clock, timing, startedAt, settings.limits.maxSockets / SPREAD_SHARE)
+        TokenSpread(fleet, workers, clock, timing, startedAt, settings.limits.maxSockets / SPREAD_SHARE, mayBeAnswered)
     private var nextPlanAt = 0L
     private var nextRoundAt = 0L
     private var nextMoveAt = startedAt + (settings.policy.replanS * 1000).toLong()
--- a/src/main/kotlin/oxbowlug/core/Replica.kt
+++ b/src/main/kotlin/oxbowlug/core/Replica.kt
@@ -70,6 +70,10 @@
     var deputies: Deputies? = null
         private set
 
+    /** Who led before, as far as known here. */
+    var formerLeader: Member? = null
+        private set
+
     /** When the last answered request to the state service was sent. */
     var lastContactMs = Long.MIN_VALUE / 2
         private set
@@ -247,6 +251,7 @@
     fun adopt(next: View) {
         val present = view
         if (present == null || next.epoch > present.epoch) {
+            if (present != null && present.leader != next.leader) formerLeader = present.leader
             view = next
             listener.onView(next)
         }
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -60,7 +60,7 @@
     val cancelPatienceCutMs: Long = (settings.workers.cancelS * 850.0).toLong()
 
     /** Whoever leads has had this long to take a cancellation over. */
-    val dutyPatienceMs: Long = (settings.workers.cancelS * 100.0).toLong()
+    val dutyPatienceMs: Long = (settings.workers.cancelS * 200.0).toLong()
 
     /** Those that don't lead act on it themselves one after the other, so that calls aren't spent several times. */
     val dutyStepMs: Long = (settings.workers.cancelS * 50.0).toLong()
@@ -126,6 +126,12 @@
     val arrivalsMs: Long = (settings.policy.replanS * 3000).toLong()
     val drainMarginMs: Long = reportMs.toLong() * 3
 
+    /**
+     * Workers of a former leader that has ended find the next one sooner than this, and the former one is back and
+     * heard; those that haven't come by then may be answered by it still.
+     */
+    val spreadAfterMs: Long = (workerLeaseMs * 0.5).toLong()
+
     /** How often controllers tell one another how they are. */
     val peerNewsMs: Long = workerLeaseRawMs / 20
 
--- a/src/main/kotlin/oxbowlug/core/TokenSpread.kt
+++ b/src/main/kotlin/oxbowlug/core/TokenSpread.kt
@@ -15,15 +15,23 @@
     private val timing: Timing,
     private val startedAt: Long,
     private val mostAtOnce: Int,
+    /** The former leader may be alive, and doesn't hear of this one from the other controllers. */
+    private val mayBeAnswered: () -> Boolean,
 ) {
     private val nextAt = HashMap<Machine, Long>()
     private var inFlight = 0
+    private var nextRoundAt = 0L
 
     fun tick(now: Long) {
-        if (now - startedAt < timing.quietMs) return
+        if (now - startedAt < timing.spreadAfterMs || now < nextRoundAt || !mayBeAnswered()) return
+        nextRoundAt = now + timing.peerNewsMs
+        // All of them at once would take the time that those who report need.
+        var left = (fleet.machines.size * timing.peerNewsMs / timing.spreadAfterMs + 1).toInt()
         for (host in fleet.machines.values) {
-            if (inFlight >= mostAtOnce) return
-            if (isMissing(host, now) && now >= (nextAt[host] ?: 0)) show(host, now)
+            if (left == 0 || inFlight >= mostAtOnce) return
+            if (!isMissing(host, now) || now < (nextAt[host] ?: 0)) continue
+            left--
+            show(host, now)
         }
     }
 
