A new leader doesn't start beyond a team's limit what the former one saw end

The leader saw a task exit and gave its room to another job, whose placement was stored; it ended before the exit was. The machine's lease was over too, so its next session knew nothing of that task, and the successor, which read both records, started it again beyond the limit. The same can happen without any cut. Ruled out: uncounted attempts in the cut zone (all were in the account). An inherited task that its worker doesn't show is now started only if its team isn't beyond its limit in the account; once the worker has shown the token it is dropped and planned anew.

--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -2,6 +2,7 @@
 
 import org.slf4j.LoggerFactory
 import oxbowlug.config.Address
+import oxbowlug.config.Team
 import oxbowlug.wire.Attempt
 import oxbowlug.wire.ExitCause
 import oxbowlug.wire.ImageName
@@ -9,6 +10,7 @@
 import oxbowlug.wire.MachineId
 import oxbowlug.wire.ReportedTask
 import oxbowlug.wire.TaskState
+import oxbowlug.wire.TeamName
 import oxbowlug.wire.Token
 import oxbowlug.wire.WorkerCommand
 import oxbowlug.wire.WorkerReport
@@ -24,7 +26,9 @@
     val arrivals: Arrivals,
     /** Images by machine as an earlier leader told them: a hint for prices, never a fact. */
     private val rememberedImages: Map<MachineId, List<ImageName>> = emptyMap(),
+    teams: Map<TeamName, Team> = emptyMap(),
 ) {
+    private val limits = TeamLimits(teams, timing)
     val jobs = LinkedHashMap<JobId, Job>()
     val machines = LinkedHashMap<MachineId, Machine>()
 
@@ -128,6 +132,7 @@
     private fun remove(placed: Live) {
         val now = clock.steadyMs()
         if (placed.target != null) placed.job.movingUntil = now + timing.movingMs
+        if (placed.job.live[placed.task] === placed) limits.freed(placed.job.spec.team, placed.job.need)
         placed.job.drop(placed.task, now)
         machines[placed.machine]?.live?.remove(placed.attempt)
         planWanted = true
@@ -177,13 +182,15 @@
                 takeSeen(host, placed, seen, now)
                 continue
             }
+            val isAbsent = settled && placed.inherited
             if (settled) placed.inherited = false
             val answered = placed.answeredAt
             // One report is in flight at a time: after a newer one, an older answer is executed or dropped for good.
             if (hello && answered != null && stamp > answered) placed.answeredAt = null
             placed.seen = null
             if (host.mayBeThere(placed, token)) continue
-            if (!placed.isWanted) {
+            if (!placed.isWanted || isAbsent && limits.isOver(placed.job.spec.team, jobs.values, now)) {
+                // The former leader saw it end and gave its room away, but ended before it had stored the end.
                 remove(placed)
             } else if (hello && placed.isOverdue(now, timing.workerLeaseRawMs)) {
                 // Its reports arrive, but what we say does not: the work goes elsewhere.
@@ -261,7 +268,9 @@
 
     private fun addStart(host: Machine, placed: Live, now: Long, result: ArrayList<WorkerCommand>) {
         if (placed.isWanted) {
-            result.add(WorkerCommand.Start(placed.attempt))
+            // Its next report will show our token, and then it is settled whether this one is still to run.
+            val waits = placed.inherited && limits.isOver(placed.job.spec.team, jobs.values, now)
+            if (!waits) result.add(WorkerCommand.Start(placed.attempt))
             return
         }
         // A direct start may still be on its way, and a stop alone would be too early for it. Started and stopped
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -33,7 +33,9 @@
     mayBeAnswered: () -> Boolean,
 ) {
     private val startedAt = clock.steadyMs()
-    val fleet = Fleet(view.token, clock, timing, Arrivals(settings, timing.arrivalsMs), rememberedImages)
+    val fleet = Fleet(
+        view.token, clock, timing, Arrivals(settings, timing.arrivalsMs), rememberedImages, settings.teams,
+    )
     val deputies = ZoneDeputies(view, settings, state, clock, timing, replica)
     private val commits = Commits(view, names, settings, state, clock, timing, writeBudget, replica, fleet)
     private val rentals = Rentals(names, settings, cloud, clock, timing, cloudBudget, fleet)
--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -6,9 +6,11 @@
 import org.junit.jupiter.api.Test
 import oxbowlug.config.Policy
 import oxbowlug.config.SettingsFile
+import oxbowlug.config.Team
 import oxbowlug.wire.Attempt
 import oxbowlug.wire.Cbor
 import oxbowlug.wire.ExitCause
+import oxbowlug.wire.JobId
 import oxbowlug.wire.JobSpecCodec
 import oxbowlug.wire.JobSpecCodecTest
 import oxbowlug.wire.ListedMachine
@@ -80,6 +82,31 @@
         assertFalse(isHeld)
     }
 
+    @Test
+    fun `a task whose end the former leader didn't store isn't started again beyond its team's limit`() {
+        // Found by the simulation: it had given the room away, which was stored, and ended before it stored the end.
+        class Case(val maxGpus: Double, val isStarted: Boolean)
+        for (case in listOf(Case(1.5, isStarted = false), Case(2.0, isStarted = true))) {
+            val team = Team(spec.team, 0.0, 1e9, 0.0, spec.gpus * case.maxGpus)
+            val here = Fleet(token, clock, timing, Arrivals(settings, 60_000), teams = mapOf(team.name to team))
+            for (id in listOf(spec.id, JobId("run-000999"))) {
+                val stored = JobRecord(
+                    spec.copy(id = id), 0, Phase.ACTIVE, BitSet(), 2, mapOf(0 to Placement(machine, 1)), "w-$id",
+                )
+                val value = Cbor.decode(Cbor.encode(stored.encode()))
+                here.takeJob(id, StoredJob(Phase.ACTIVE, 1, spec.tasks, 0, 1, value), value)
+            }
+            val other = ReportedTask(Attempt(TaskId(JobId("run-000999"), 0), 1), TaskState.RUNNING, null, false)
+            val start = WorkerCommand.Start(attempt)
+            here.hear(report(1, seen = Token(4), tasks = listOf(other)), hello = true)
+            val host = here.machines.getValue(machine)
+            assertEquals(case.isStarted, start in here.commands(host, clock.now), "limit of ${case.maxGpus}, at once")
+            here.hear(report(2, tasks = listOf(other)), hello = true)
+            assertEquals(case.isStarted, attempt in host.live, "limit of ${case.maxGpus}, settled")
+            assertTrue(other.attempt in host.live)
+        }
+    }
+
     @Test
     fun `silence, young lists and copies of old reports prove nothing`() {
         take(record(), 7)
--- a/src/test/kotlin/oxbowlug/sim/Rules.kt
+++ b/src/test/kotlin/oxbowlug/sim/Rules.kt
@@ -87,7 +87,14 @@
             }
         }
         for ((team, used) in gpus) {
-            if (used > (limits[team] ?: Double.MAX_VALUE) + 1e-6) fail("quota", "$team uses $used GPUs")
+            if (used > (limits[team] ?: Double.MAX_VALUE) + 1e-6) {
+                val where = workers.associate { host ->
+                    host.id to host.onMachine().map { it.attempt }.filter {
+                        jobs.getValue(it.task.job.value).spec.team.value == team
+                    }
+                }
+                fail("quota", "$team uses $used GPUs: ${where.filterValues { it.isNotEmpty() }}")
+            }
         }
     }
 
--- a/src/test/kotlin/oxbowlug/sim/Simulation.kt
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -128,7 +128,14 @@
 
     override fun onStarted(machine: SimWorker, attempt: Attempt) = rules.started(machine, attempt)
 
-    override fun onDone(attempt: Attempt) = rules.done(attempt)
+    /** Share of the tasks' ends at which the job is called off in the same moment, the last ones above all. */
+    var cancelsAtEnd = 0.0
+
+    override fun onDone(attempt: Attempt) {
+        rules.done(attempt)
+        val id = attempt.task.job.value
+        if (world.chance(cancelsAtEnd)) world.after(world.between(0, 400)) { cancel(id) }
+    }
 
     private fun settings(index: Int) = Settings(
         label = "n$index",
--- a/src/test/kotlin/oxbowlug/sim/SimulationTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimulationTest.kt
@@ -326,6 +326,11 @@
                     for (later in 0L..6_000L step 500) day.cancelNow(1, ms + later)
                 }
             },
+            Trouble("jobs are called off at the moment of their end") { day ->
+                day.closeLooks = 0.3
+                day.spell(20_000, 70_000, { day.cancelsAtEnd = 0.5 }, { day.cancelsAtEnd = 0.0 })
+                day.crashLeader(50_000, 1_000)
+            },
             Trouble("leaders change ten times, also inside an outage") { day ->
                 for (index in 0..9) day.crashLeader(20_000L + index * 10_000, if (index % 2 == 0) 400 else 4_000)
                 day.spell(52_000, 20_000, { day.store.down = true }, { day.store.down = false })
