--- a/src/main/kotlin/oxbowlug/cli/Logging.kt
+++ b/src/main/kotlin/oxbowlug/cli/Logging.kt
@@ -10,6 +10,8 @@
     fun configure(level: String?) {
         val chosen = if (level.isNullOrEmpty()) "info" else level.lowercase()
         if (chosen !in levels) throw InvalidSettings("LOG_LEVEL: must be one of ${levels.joinToString(", ")}")
+        // Named here, it isn't searched for in every library when the process starts.
+        System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider")
         set("defaultLogLevel", chosen)
         set("showThreadName", "false")
         // Milliseconds since the start: a formatted date would load calendars and locales when the process starts.
--- a/src/main/kotlin/oxbowlug/cli/Service.kt
+++ b/src/main/kotlin/oxbowlug/cli/Service.kt
@@ -120,6 +120,9 @@
         System.setProperty("io.netty.allocator.type", "unpooled")
         System.setProperty("io.netty.recycler.maxCapacityPerThread", "0")
         System.setProperty("io.netty.noUnsafe", "false")
+        // The first buffer would start the JVM's flight recorder, nearly a fifth of a whole start, for events that
+        // nobody records.
+        System.setProperty("io.netty.jfr.enabled", "false")
         // What is named here isn't searched for when the process starts.
         System.setProperty("vertx.logger-delegate-factory-class-name", SLF4JLogDelegateFactory::class.java.name)
         System.setProperty("io.netty.processId", "1")
