--- a/src/main/kotlin/oxbowlug/cli/Main.kt
+++ b/src/main/kotlin/oxbowlug/cli/Main.kt
@@ -19,7 +19,7 @@
     val config = parser.accepts("config", "the platform's settings (TOML)").withRequiredArg().describedAs("FILE")
     val policy = parser.accepts("policy", "the operators' own settings (Lua)").withRequiredArg().describedAs("FILE")
     val check = parser.accepts("check", "check the settings and end")
-    val rehearse = parser.accepts("rehearse", "run on loopback for a moment and end (for the build)")
+    val warmUp = parser.accepts("warm-up", "run on loopback for a moment and end (for the build)")
     val help = parser.accepts("help", "show this help and end").forHelp()
     val version = parser.accepts("version", "show the version and end").forHelp()
     val options = try {
@@ -40,9 +40,9 @@
             return
         }
     }
-    if (options.has(rehearse)) {
-        Logging.configure("error")
-        return Rehearsal.run()
+    if (options.has(warmUp)) {
+        Logging.configure(null)
+        return ClassArchiveWarmUp.run { path -> load(parser.parse("--config", path).valueOf(config), null) }
     }
     val settings = try {
         Logging.configure(System.getenv("LOG_LEVEL"))
