--- a/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
+++ b/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
@@ -1,67 +1,112 @@
 package oxbowlug.api
 
-import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.FunctionCounter
+import io.micrometer.core.instrument.FunctionTimer
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Meter
-import io.micrometer.core.instrument.Timer
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import oxbowlug.core.Core
 import oxbowlug.core.Meters
 import java.util.concurrent.TimeUnit
 
-/** Micrometer's meters of one controller, and their text form. */
-class ServiceMetrics : Meters {
-    private val registry = SimpleMeterRegistry()
-    private val plans = Timer.builder("oxbowlug.plan").publishPercentiles(0.5, 0.99).register(registry)
-    private val commits = Timer.builder("oxbowlug.commit").publishPercentiles(0.5, 0.99).register(registry)
+/**
+ * What one controller counts, and its text form. Recording is plain arithmetic; Micrometer's registry, which takes a
+ * noticeable part of a start on a small machine, is only made when somebody reads the metrics for the first time.
+ */
+class ServiceMetrics(windowNanos: Long) : Meters {
+    private val durations = listOf("plan", "commit", "step", "queue.delay")
+        .associateWith { RecordedDurations(windowNanos) }
+    private val plans = durations.getValue("plan")
+    private val commits = durations.getValue("commit")
+    private val steps = durations.getValue("step")
+    private val delays = durations.getValue("queue.delay")
+    private var pricedMachines = 0L
+    private val refusals = HashMap<String, Refusals>()
+    private val gauges = LinkedHashMap<String, () -> Number>()
+    private var registry: SimpleMeterRegistry? = null
 
-    private val steps = Timer.builder("oxbowlug.step").publishPercentiles(0.5, 0.99).register(registry)
-    private val waits = Timer.builder("oxbowlug.queue.delay").publishPercentiles(0.5, 0.99).register(registry)
-
-    private val priced = Counter.builder("oxbowlug.plan.priced").register(registry)
+    private class Refusals {
+        var count = 0L
+    }
 
     override fun planned(nanos: Long, priced: Int) {
-        plans.record(nanos, TimeUnit.NANOSECONDS)
-        this.priced.increment(priced.toDouble())
+        plans.record(nanos)
+        pricedMachines += priced
     }
 
-    override fun stepped(nanos: Long) = steps.record(nanos, TimeUnit.NANOSECONDS)
+    override fun stepped(nanos: Long) = steps.record(nanos)
 
-    override fun waited(millis: Long) = waits.record(millis, TimeUnit.MILLISECONDS)
+    override fun waited(millis: Long) = delays.record(TimeUnit.MILLISECONDS.toNanos(millis))
 
-    override fun committed(millis: Long) = commits.record(millis, TimeUnit.MILLISECONDS)
+    override fun committed(millis: Long) = commits.record(TimeUnit.MILLISECONDS.toNanos(millis))
 
-    override fun refused(reason: String) =
-        Counter.builder("oxbowlug.refused").tag("reason", reason).register(registry).increment()
+    override fun refused(reason: String) {
+        val counted = refusals.getOrPut(reason) { Refusals().also { added -> registry?.publish(reason, added) } }
+        counted.count++
+    }
 
     fun watch(core: Core) {
-        gauge("oxbowlug.queue.depth") { core.queueDepth }
-        gauge("oxbowlug.submissions.in.progress") { core.submissionsInProgress }
-        gauge("oxbowlug.submissions.limit") { core.submissionLimit }
-        gauge("oxbowlug.commit.backlog") { core.commitBacklog }
-        gauge("oxbowlug.tasks.waiting") { core.waitingTasks }
-        gauge("oxbowlug.machines") { core.machineCount }
-        gauge("oxbowlug.cancellations.open") { core.openCancellations }
-        gauge("oxbowlug.rate.writes.left") { core.writesLeft }
-        gauge("oxbowlug.rate.cloud.left") { core.cloudCallsLeft }
-        gauge("oxbowlug.epoch") { core.epoch }
-        gauge("oxbowlug.leading") { if (core.isLeading) 1 else 0 }
+        gauges["queue.depth"] = { core.queueDepth }
+        gauges["submissions.in.progress"] = { core.submissionsInProgress }
+        gauges["submissions.limit"] = { core.submissionLimit }
+        gauges["commit.backlog"] = { core.commitBacklog }
+        gauges["tasks.waiting"] = { core.waitingTasks }
+        gauges["machines"] = { core.machineCount }
+        gauges["cancellations.open"] = { core.openCancellations }
+        gauges["rate.writes.left"] = { core.writesLeft }
+        gauges["rate.cloud.left"] = { core.cloudCallsLeft }
+        gauges["epoch"] = { core.epoch }
+        gauges["leading"] = { if (core.isLeading) 1 else 0 }
     }
 
-    private fun gauge(name: String, value: () -> Number) {
-        Gauge.builder(name, value).strongReference(true).register(registry)
+    /** Every meter's present values, a line each. */
+    fun text(): String {
+        val opened = registry ?: open()
+        return buildString {
+            for (meter in opened.meters.sortedBy { it.id.name }) {
+                for (measurement in meter.measure()) {
+                    append(line(meter.id, measurement.statistic.tagValueRepresentation, measurement.value))
+                }
+            }
+        }
     }
 
-    fun text(): String = buildString {
-        for (meter in registry.meters.sortedBy { it.id.name }) {
-            for (measurement in meter.measure()) {
-                append(line(meter.id, measurement.statistic.tagValueRepresentation, measurement.value))
-            }
+    private fun open(): SimpleMeterRegistry {
+        val opened = SimpleMeterRegistry()
+        for ((name, recorded) in durations) opened.publish(name, recorded)
+        for ((name, value) in gauges) opened.publish(name, value)
+        for ((reason, counted) in refusals) opened.publish(reason, counted)
+        FunctionCounter.builder("$PREFIX.plan.priced", this) { it.pricedMachines.toDouble() }.register(opened)
+        registry = opened
+        return opened
+    }
+
+    private fun SimpleMeterRegistry.publish(name: String, recorded: RecordedDurations) {
+        FunctionTimer.builder(
+            "$PREFIX.$name", recorded, { it.count }, { it.totalNanos.toDouble() }, TimeUnit.NANOSECONDS,
+        ).register(this)
+        for (share in PERCENTILES) {
+            Gauge.builder("$PREFIX.$name.percentile") { recorded.percentileSeconds(share) }
+                .tag("phi", share.toString()).strongReference(true).register(this)
         }
+        Gauge.builder("$PREFIX.$name.max") { recorded.percentileSeconds(1.0) }.strongReference(true).register(this)
+    }
+
+    private fun SimpleMeterRegistry.publish(name: String, value: () -> Number) {
+        Gauge.builder("$PREFIX.$name", value).strongReference(true).register(this)
+    }
+
+    private fun SimpleMeterRegistry.publish(reason: String, counted: Refusals) {
+        FunctionCounter.builder("$PREFIX.refused", counted) { it.count.toDouble() }.tag("reason", reason).register(this)
     }
 
     private fun line(id: Meter.Id, statistic: String, value: Double): String {
         val tags = id.tags.joinToString("") { ",${it.key}=\"${it.value.replace("\"", "'")}\"" }
         return "${id.name.replace('.', '_')}{statistic=\"$statistic\"$tags} $value\n"
     }
+
+    private companion object {
+        const val PREFIX = "oxbowlug"
+        val PERCENTILES = listOf(0.5, 0.99)
+    }
 }
--- a/src/main/kotlin/oxbowlug/cli/Service.kt
+++ b/src/main/kotlin/oxbowlug/cli/Service.kt
@@ -54,7 +54,7 @@
 
     private fun run(vertx: Vertx, context: Context) {
         val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
-        val metrics = ServiceMetrics()
+        val metrics = ServiceMetrics(windowNanos = (settings.policy.replanS * METRICS_WINDOW_REPLANS * 1e9).toLong())
         val settle: (() -> Unit) -> Unit = { action -> if (!core.offer(Command.Settled(action))) overflow() }
         val leaseMs = (settings.workers.leaseS * 1000).toLong()
         val stateCalls = HttpCaller(vertx, STATE_CONNECTIONS, waiting = settings.limits.maxSockets)
@@ -138,6 +138,9 @@
     private companion object {
         const val STATE_CONNECTIONS = 12
         const val CLOUD_CONNECTIONS = 3
+
+        /** Percentiles cover the last one to two windows, each so many times the replanning interval. */
+        const val METRICS_WINDOW_REPLANS = 2
         val log = LoggerFactory.getLogger("service")
     }
 }
