--- a/src/main/kotlin/oxbowlug/cli/Service.kt
+++ b/src/main/kotlin/oxbowlug/cli/Service.kt
@@ -54,7 +54,9 @@
 
     private fun run(vertx: Vertx, context: Context) {
         val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
-        val metrics = ServiceMetrics(windowNanos = (settings.policy.replanS * METRICS_WINDOW_REPLANS * 1e9).toLong())
+        val metrics = ServiceMetrics(
+            windowNanos = TimeUnit.SECONDS.toNanos((settings.policy.replanS * METRICS_WINDOW_REPLANS).toLong()),
+        )
         val settle: (() -> Unit) -> Unit = { action -> if (!core.offer(Command.Settled(action))) overflow() }
         val leaseMs = (settings.workers.leaseS * 1000).toLong()
         val stateCalls = HttpCaller(vertx, STATE_CONNECTIONS, waiting = settings.limits.maxSockets)
@@ -117,6 +119,8 @@
         System.setProperty("vertx.disableDnsResolver", "true")
         System.setProperty("vertx.disableMetrics", "true")
         System.setProperty("vertx.disableWebsockets", "true")
+        // Not used, since files aren't cached; made up by default, the name takes milliseconds of a start.
+        System.setProperty("vertx.cacheDirBase", System.getProperty("java.io.tmpdir"))
         System.setProperty("io.netty.allocator.type", "unpooled")
         System.setProperty("io.netty.recycler.maxCapacityPerThread", "0")
         System.setProperty("io.netty.noUnsafe", "false")
