A starting controller registers and stands for election in one transaction, before it reads jobs

Now the roster is read and the lease granted side by side, one transaction registers and elects, and it is sent before the jobs are asked for. Where a transaction holds one change, both are sent one after the other as before. Rules: the election's conditions are the same; a transaction carried out late fails with the view's version, or with its lease. A loser registers alone. AuthorityTest bounds the calls to three (four).

--- a/src/main/kotlin/oxbowlug/core/Authority.kt
+++ b/src/main/kotlin/oxbowlug/core/Authority.kt
@@ -33,6 +33,7 @@
     private val clock: Clock,
     private val timing: Timing,
     private val replica: Replica,
+    private val changesPerTransaction: Int,
 ) {
     private val memberKey = Keys.member(self)
     private var lease: Long? = null
@@ -69,9 +70,27 @@
     fun tick() {
         val now = clock.steadyMs()
         if (!renewing && now >= nextRenewalAt) renew(now)
-        val held = lease
-        if (held != null && !registered && !registering) register(held)
-        if (registered && !electing && now >= nextElectionAt && replica.knowsRoster) standForElection(now)
+        seekOffice(now)
+    }
+
+    /** Registers this life, stands for election, or both in one transaction, as soon as what is needed is known. */
+    fun seekOffice(now: Long) {
+        val held = lease ?: return
+        val mayStand = !electing && now >= nextElectionAt && isLeaderMissing()
+        when {
+            registered -> if (mayStand) standForElection(now, joining = null)
+            // Registered before the view is known, this life would have to stand in a transaction of its own.
+            registering || electing || !replica.knowsRoster -> Unit
+            // After the end of all controllers the workers' leases have little time left: one call less counts.
+            mayStand && changesPerTransaction > 1 -> standForElection(now, joining = held)
+            else -> register(held)
+        }
+    }
+
+    private fun isLeaderMissing(): Boolean {
+        if (!replica.knowsRoster) return false
+        val leader = replica.view?.leader ?: return true
+        return leader != self && !replica.hasMember(Keys.member(leader))
     }
 
     private fun renew(now: Long) {
@@ -85,7 +104,7 @@
                 if (granted != null) {
                     believedUntil = now + timing.leaseBeliefMs
                     nextRenewalAt = now + timing.leaseTouchMs
-                    register(granted)
+                    seekOffice(clock.steadyMs())
                 } else {
                     nextRenewalAt = clock.steadyMs() + timing.retryMs()
                 }
@@ -115,43 +134,47 @@
 
     private fun register(held: Long) {
         registering = true
-        val put = Change.Put(memberKey, mapOf("label" to self.label), held)
-        state.commit(Transaction(emptyList(), listOf(put))) { outcome ->
+        state.commit(Transaction(emptyList(), listOf(registration(held)))) { outcome ->
             registering = false
             when (outcome) {
-                is CommitOutcome.Applied -> if (lease == held) registered = true
+                is CommitOutcome.Applied -> if (lease == held) {
+                    registered = true
+                    seekOffice(clock.steadyMs())
+                }
                 CommitOutcome.Invalid -> if (lease == held) lease = null
                 is CommitOutcome.Conflict, CommitOutcome.Refused, CommitOutcome.Unanswered -> Unit
             }
         }
     }
 
-    private fun standForElection(now: Long) {
+    private fun registration(held: Long) = Change.Put(memberKey, mapOf("label" to self.label), held)
+
+    /** [joining] is the lease under which the same transaction registers this life, unless it is registered. */
+    private fun standForElection(now: Long, joining: Long?) {
         val view = replica.view
-        if (view != null) {
-            val leaderKey = Keys.member(view.leader)
-            if (view.leader == self || replica.hasMember(leaderKey)) return
-        }
         electing = true
         // The jitter lets one candidate win without the others' writes being spent on the same key.
         nextElectionAt = now + timing.retryMs()
-        val next = View(
-            epoch = maxOf(view?.epoch ?: 0L, newestEpoch) + 1,
-            token = Token(maxOf(view?.epoch ?: 0L, newestEpoch) + 1),
-            leader = self,
-            version = 0,
-        )
+        val epoch = maxOf(view?.epoch ?: 0L, newestEpoch) + 1
+        val next = View(epoch, Token(epoch), leader = self, version = 0)
         val conditions = ArrayList<Condition>()
         conditions.add(Condition(Keys.VIEW, view?.version ?: 0))
         if (view != null) conditions.add(Condition(Keys.member(view.leader), 0))
-        state.commit(Transaction(conditions, listOf(Change.Put(Keys.VIEW, next.encode())))) { outcome ->
+        val changes = ArrayList<Change>()
+        if (joining != null) changes.add(registration(joining))
+        changes.add(Change.Put(Keys.VIEW, next.encode()))
+        state.commit(Transaction(conditions, changes)) { outcome ->
             electing = false
             if (outcome is CommitOutcome.Applied) {
+                if (joining != null && lease == joining) registered = true
                 log.info("elected at epoch {}", next.epoch)
                 replica.adopt(next.copy(version = outcome.revision))
             } else {
                 // Won or lost unseen: the watch tells, and a view that names us is taken up from there.
                 nextElectionAt = clock.steadyMs() + timing.retryMs()
+                if (outcome == CommitOutcome.Invalid && lease == joining) lease = null
+                // Whoever lost is a member all the same.
+                lease?.let { if (!registered && !registering) register(it) }
             }
         }
     }
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -31,7 +31,7 @@
     private val load = Load(meters, timing.tickMs, (settings.policy.replanS * 1000).toLong())
     private val queue = ManyToOneConcurrentArrayQueue<Command>(capacity(settings))
     private val replica = Replica(state, clock, timing, Listener()) { isOurView() }
-    private val authority = Authority(self, state, clock, timing, replica)
+    private val authority = Authority(self, state, clock, timing, replica, settings.state.txnOps)
 
     // Half of the write rate is for accepting and cancelling. A controller may use all of that half, since users are
     // rarely everywhere at once; where they are, the state service refuses the surplus and it is tried again.
@@ -285,6 +285,8 @@
     }
 
     private inner class Listener : ReplicaListener {
+        override fun onRoster() = authority.seekOffice(clock.steadyMs())
+
         override fun onView(view: View) {
             log.info("epoch {} is led by {}", view.epoch, view.leader.label)
             viewIsNew = true
--- a/src/main/kotlin/oxbowlug/core/Replica.kt
+++ b/src/main/kotlin/oxbowlug/core/Replica.kt
@@ -27,6 +27,9 @@
 }
 
 interface ReplicaListener {
+    /** The view and the members have been read whole; the jobs are asked for right after this. */
+    fun onRoster()
+
     fun onView(view: View)
 
     /** [value] is the record as it is stored, also of a job whose record the copy doesn't keep. */
@@ -184,6 +187,7 @@
             members.clear()
             entries.forEach { if (it.key.startsWith(Keys.MEMBERS)) members.add(it.key) }
             knowsRoster = true
+            listener.onRoster()
             readPage(Keys.ROOT, null, ArrayList(), from) { all, first ->
                 reading = false
                 reset(all, first)
--- a/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
+++ b/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
@@ -18,18 +18,24 @@
     private val world = World(1)
     private val store = SimStore(world)
     private var readingJobsMs = 0L
+    private var changesPerTransaction = 16
 
     private inner class Port : StatePort {
         var reachable = true
 
+        /** All but readings of jobs and changes, which are asked for beside the election and don't delay it. */
+        var calls = 0
+            private set
+
         private fun <T> answer(away: T, done: (T) -> Unit, execute: () -> T) {
             world.after(2) { if (reachable) done(execute()) else world.after(200) { done(away) } }
         }
 
         override fun commit(transaction: Transaction, done: (CommitOutcome) -> Unit) =
-            answer(CommitOutcome.Unanswered, done) { store.commit(transaction) }
+            answer(CommitOutcome.Unanswered, done) { store.commit(transaction) }.also { calls++ }
 
         override fun readPage(prefix: String, after: String?, done: (ReadPage?) -> Unit) {
+            if (prefix == Keys.ROSTER) calls++
             val slowMs = if (prefix == Keys.ROOT) readingJobsMs else 0
             world.after(slowMs) { answer(null, done) { store.read(prefix, after, 100) } }
         }
@@ -37,7 +43,8 @@
         override fun changes(prefix: String, from: Long, waitMs: Long, done: (ChangesOutcome) -> Unit) =
             answer(ChangesOutcome.Failed, done) { store.changes(prefix, from) }
 
-        override fun grant(lifeMs: Long, done: (Long?) -> Unit) = answer(null, done) { store.grant(lifeMs) }
+        override fun grant(lifeMs: Long, done: (Long?) -> Unit) =
+            answer(null, done) { store.grant(lifeMs) }.also { calls++ }
 
         override fun touch(lease: Long, done: (TouchOutcome) -> Unit) =
             answer(TouchOutcome.FAILED, done) { store.touch(lease) }
@@ -49,10 +56,19 @@
         private val clock = DriftingClock(world, 0.0, 0)
         private val timing = Timing(SettingsFile.parse(SettingsTexts.valid), Random(2))
         private val port = Port()
-        private val replica = Replica(port, clock, timing, Deaf)
-        private val authority = Authority(Member(label, life), port, clock, timing, replica)
+        private val replica = Replica(port, clock, timing, Listener())
+        private val authority = Authority(Member(label, life), port, clock, timing, replica, changesPerTransaction)
         private var alive = true
         val role: Role get() = authority.role()
+        val calls: Int get() = port.calls
+
+        private inner class Listener : ReplicaListener {
+            override fun onRoster() = authority.seekOffice(clock.steadyMs())
+
+            override fun onView(view: View) = Unit
+
+            override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
+        }
 
         init {
             tick()
@@ -78,12 +94,6 @@
         fun hears(epoch: Long, leader: Member?) = authority.hearOfEpoch(epoch, leader)
     }
 
-    private object Deaf : ReplicaListener {
-        override fun onView(view: View) = Unit
-
-        override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
-    }
-
     private val leaseMs = Timing(SettingsFile.parse(SettingsTexts.valid), Random(2)).leaseLifeMs
 
     @Test
@@ -117,6 +127,31 @@
         assertFalse(second.hasJobs)
     }
 
+    @Test
+    fun `a start takes three calls to leadership, or four where a transaction holds one change`() {
+        for ((changes, calls) in listOf(16 to 3, 1 to 4)) {
+            changesPerTransaction = changes
+            val node = Node("n$changes", "x")
+            var untilMs = world.nowMs
+            val givenUpMs = untilMs + leaseMs
+            while (node.role !is Role.Leader && untilMs < givenUpMs) world.runUntil(++untilMs)
+            assertTrue(node.role is Role.Leader)
+            assertEquals(calls, node.calls, "with $changes changes a transaction")
+            node.crash()
+            world.runUntil(world.nowMs + leaseMs + 200)
+        }
+    }
+
+    @Test
+    fun `of two that start together one leads, and the other one is a member`() {
+        val nodes = listOf(Node("n0", "x"), Node("n1", "y"))
+        world.runUntil(500)
+        assertEquals(1, nodes.count { it.role is Role.Leader })
+        assertEquals(1, nodes.count { it.role is Role.Follower })
+        val members = store.read(Keys.MEMBERS, null, 100).entries.map { it.key }
+        assertEquals(listOf(Keys.member(Member("n0", "x")), Keys.member(Member("n1", "y"))), members)
+    }
+
     @Test
     fun `a restarted leader is not taken for its earlier life`() {
         val first = Node("n0", "x")
--- a/src/test/kotlin/oxbowlug/core/DeputyTest.kt
+++ b/src/test/kotlin/oxbowlug/core/DeputyTest.kt
@@ -37,6 +37,8 @@
     }
 
     private object Deaf : ReplicaListener {
+        override fun onRoster() = Unit
+
         override fun onView(view: View) = Unit
 
         override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
--- a/src/test/kotlin/oxbowlug/core/DeskTest.kt
+++ b/src/test/kotlin/oxbowlug/core/DeskTest.kt
@@ -63,6 +63,8 @@
     }
 
     private object Ignored : ReplicaListener {
+        override fun onRoster() = Unit
+
         override fun onView(view: View) = Unit
 
         override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
