--- a/src/main/kotlin/oxbowlug/cli/Logging.kt
+++ b/src/main/kotlin/oxbowlug/cli/Logging.kt
@@ -12,6 +12,8 @@
         if (chosen !in levels) throw InvalidSettings("LOG_LEVEL: must be one of ${levels.joinToString(", ")}")
         // Named here, it isn't searched for in every library when the process starts.
         System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider")
+        // It would say so on every start, whatever the level.
+        System.setProperty("slf4j.internal.verbosity", "WARN")
         set("defaultLogLevel", chosen)
         set("showThreadName", "false")
         // Milliseconds since the start: a formatted date would load calendars and locales when the process starts.
--- a/src/main/kotlin/oxbowlug/core/Authority.kt
+++ b/src/main/kotlin/oxbowlug/core/Authority.kt
@@ -70,11 +70,11 @@
     fun tick() {
         val now = clock.steadyMs()
         if (!renewing && now >= nextRenewalAt) renew(now)
-        seekOffice(now)
+        registerOrStand(now)
     }
 
     /** Registers this life, stands for election, or both in one transaction, as soon as what is needed is known. */
-    fun seekOffice(now: Long) {
+    fun registerOrStand(now: Long) {
         val held = lease ?: return
         val mayStand = !electing && now >= nextElectionAt && isLeaderMissing()
         when {
@@ -104,7 +104,7 @@
                 if (granted != null) {
                     believedUntil = now + timing.leaseBeliefMs
                     nextRenewalAt = now + timing.leaseTouchMs
-                    seekOffice(clock.steadyMs())
+                    registerOrStand(clock.steadyMs())
                 } else {
                     nextRenewalAt = clock.steadyMs() + timing.retryMs()
                 }
@@ -139,7 +139,7 @@
             when (outcome) {
                 is CommitOutcome.Applied -> if (lease == held) {
                     registered = true
-                    seekOffice(clock.steadyMs())
+                    registerOrStand(clock.steadyMs())
                 }
                 CommitOutcome.Invalid -> if (lease == held) lease = null
                 is CommitOutcome.Conflict, CommitOutcome.Refused, CommitOutcome.Unanswered -> Unit
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -285,7 +285,7 @@
     }
 
     private inner class Listener : ReplicaListener {
-        override fun onRoster() = authority.seekOffice(clock.steadyMs())
+        override fun onRoster() = authority.registerOrStand(clock.steadyMs())
 
         override fun onView(view: View) {
             log.info("epoch {} is led by {}", view.epoch, view.leader.label)
--- a/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
+++ b/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
@@ -63,7 +63,7 @@
         val calls: Int get() = port.calls
 
         private inner class Listener : ReplicaListener {
-            override fun onRoster() = authority.seekOffice(clock.steadyMs())
+            override fun onRoster() = authority.registerOrStand(clock.steadyMs())
 
             override fun onView(view: View) = Unit
 
