--- a/src/main/kotlin/oxbowlug/api/ClientServer.kt
+++ b/src/main/kotlin/oxbowlug/api/ClientServer.kt
@@ -62,8 +62,14 @@
     }
 
     private fun submit(request: HttpServerRequest, body: Map<String, Any?>) {
-        val spec = JobSpecCodec.decode(body)
-        offer(request, Command.Submit(spec) { answer(request, it) })
+        val command = try {
+            Command.Submit(JobSpecCodec.decode(body)) { answer(request, it) }
+        } catch (e: InvalidField) {
+            val id = (body["id"] as? String)?.takeIf(JobId::isValid) ?: throw e
+            log.info("refused {}: {}", request.path(), e.message)
+            Command.SubmitMalformed(JobId(id), e.message.orEmpty()) { answer(request, it) }
+        }
+        offer(request, command)
     }
 
     private fun report(request: HttpServerRequest, body: Map<String, Any?>) {
@@ -85,6 +91,7 @@
         when (answer) {
             is UserAnswer.Accepted -> reply(request, 201, AnswerCodec.accepted(answer.view))
             is UserAnswer.Known -> reply(request, 200, AnswerCodec.polled(answer.view))
+            is UserAnswer.Malformed -> reply(request, 400, AnswerCodec.problem(answer.problem))
             is UserAnswer.Rejected -> reply(request, 422, AnswerCodec.problem(answer.problem))
             UserAnswer.NotFound -> reply(request, 404, AnswerCodec.problem("no such job"))
             is UserAnswer.Unavailable -> later(request, 503, answer.retryAfterS, answer.why)
--- a/src/main/kotlin/oxbowlug/config/Settings.kt
+++ b/src/main/kotlin/oxbowlug/config/Settings.kt
@@ -43,7 +43,25 @@
 
 data class WorkerSettings(val reportS: Double, val leaseS: Double, val cancelS: Double)
 
-data class StateSettings(val rps: Double, val writeRps: Double, val valueKb: Double, val txnOps: Int)
+/** What the state service takes: puts and deletes a second, the size of a value, and changes in one transaction. */
+data class WriteLimits(val writeRps: Double, val valueKb: Double, val txnOps: Int) {
+    /** What is within both. */
+    fun lowest(other: WriteLimits) = WriteLimits(
+        minOf(writeRps, other.writeRps),
+        minOf(valueKb, other.valueKb),
+        minOf(txnOps, other.txnOps),
+    )
+}
+
+/** [next] are limits that the state service will have from some moment on that nobody announces. */
+data class StateSettings(val rps: Double, val present: WriteLimits, val next: WriteLimits? = null) {
+    val writeRps: Double get() = present.writeRps
+    val valueKb: Double get() = present.valueKb
+    val txnOps: Int get() = present.txnOps
+
+    /** Taken whether or not the limits have changed yet. */
+    val lowest: WriteLimits get() = next?.lowest(present) ?: present
+}
 
 data class CloudSettings(val rps: Double, val listLagS: Double)
 
--- a/src/main/kotlin/oxbowlug/config/SettingsFile.kt
+++ b/src/main/kotlin/oxbowlug/config/SettingsFile.kt
@@ -37,12 +37,7 @@
             teams = shared.tables("teams").map(::team).associateBy { it.name },
             objectives = shared.tables("objectives").mapNotNull(::objective),
             workers = workers(workers),
-            state = StateSettings(
-                rps = state.positive("rps"),
-                writeRps = state.positive("write_rps"),
-                valueKb = state.positive("value_kb"),
-                txnOps = state.positive("txn_ops").toInt().coerceAtLeast(1),
-            ),
+            state = state(state),
             cloud = CloudSettings(rps = cloud.positive("rps"), listLagS = cloud.number("list_lag_s", min = 0.0)),
             limits = LimitSettings(
                 memoryMb = limits.number("mem_mb", min = 1.0, default = 256.0),
@@ -52,6 +47,24 @@
         )
     }
 
+    private fun state(table: Table): StateSettings {
+        val present = WriteLimits(
+            writeRps = table.positive("write_rps"),
+            valueKb = table.positive("value_kb"),
+            txnOps = table.operations("txn_ops"),
+        )
+        val next = table.tableOrNull("next")?.let { next ->
+            WriteLimits(
+                writeRps = if (next.has("write_rps")) next.positive("write_rps") else present.writeRps,
+                valueKb = if (next.has("value_kb")) next.positive("value_kb") else present.valueKb,
+                txnOps = if (next.has("txn_ops")) next.operations("txn_ops") else present.txnOps,
+            )
+        }
+        return StateSettings(table.positive("rps"), present, next)
+    }
+
+    private fun Table.operations(name: String): Int = positive(name).toInt().coerceAtLeast(1)
+
     private fun zones(table: Table): List<Zone> {
         val zones = table.texts("zones").map(::Zone)
         if (zones.isEmpty()) table.fail("zones", "must name at least one zone")
@@ -140,6 +153,10 @@
         fun tableOrEmpty(name: String): Table =
             if (child(name) == null) Table(JsonNodeFactory.instance.objectNode(), "$path$name.") else table(name)
 
+        fun has(name: String): Boolean = child(name) != null
+
+        fun tableOrNull(name: String): Table? = if (has(name)) table(name) else null
+
         fun tables(name: String): List<Table> {
             val value = child(name) ?: return emptyList()
             if (!value.isArray || value.any { !it.isObject }) fail(name, "must be a list of tables")
--- a/src/main/kotlin/oxbowlug/core/Authority.kt
+++ b/src/main/kotlin/oxbowlug/core/Authority.kt
@@ -44,6 +44,7 @@
     private var believedUntil = Long.MIN_VALUE / 2
     private var nextRenewalAt = 0L
     private var nextElectionAt = 0L
+    private var nextRegistrationAt = 0L
     private var newestEpoch = 0L
     private var rumouredLeader: Member? = null
 
@@ -76,11 +77,11 @@
     /** Registers this life, stands for election, or both in one transaction, as soon as what is needed is known. */
     fun registerOrStand(now: Long) {
         val held = lease ?: return
-        val mayStand = !electing && now >= nextElectionAt && isLeaderMissing()
+        val mayStand = !electing && replica.writableFormat != WritableFormat.NONE && now >= nextElectionAt && isLeaderMissing()
         when {
             registered -> if (mayStand) standForElection(now, joining = null)
             // Registered before the view is known, this life would have to stand in a transaction of its own.
-            registering || electing || !replica.knowsRoster -> Unit
+            registering || electing || !replica.knowsRoster || now < nextRegistrationAt -> Unit
             // After the end of all controllers the workers' leases have little time left: one call less counts.
             mayStand && changesPerTransaction > 1 -> standForElection(now, joining = held)
             else -> register(held)
@@ -141,13 +142,15 @@
                     registered = true
                     registerOrStand(clock.steadyMs())
                 }
-                CommitOutcome.Invalid -> if (lease == held) lease = null
+                CommitOutcome.LeaseOver -> if (lease == held) lease = null
+                // Refused for its size, it says nothing of the lease.
+                CommitOutcome.Invalid -> nextRegistrationAt = clock.steadyMs() + timing.workerLeaseRawMs
                 is CommitOutcome.Conflict, CommitOutcome.Refused, CommitOutcome.Unanswered -> Unit
             }
         }
     }
 
-    private fun registration(held: Long) = Change.Put(memberKey, mapOf("label" to self.label), held)
+    private fun registration(held: Long) = Change.Put(memberKey, mapOf("label" to self.label) + DataFormat.encode(DataFormat.NEWEST), held)
 
     /** [joining] is the lease under which the same transaction registers this life, unless it is registered. */
     private fun standForElection(now: Long, joining: Long?) {
@@ -172,7 +175,7 @@
             } else {
                 // Won or lost unseen: the watch tells, and a view that names us is taken up from there.
                 nextElectionAt = clock.steadyMs() + timing.retryMs()
-                if (outcome == CommitOutcome.Invalid && lease == joining) lease = null
+                if (outcome == CommitOutcome.LeaseOver && lease == joining) lease = null
                 // Whoever lost is a member all the same.
                 lease?.let { if (!registered && !registering) register(it) }
             }
--- a/src/main/kotlin/oxbowlug/core/Command.kt
+++ b/src/main/kotlin/oxbowlug/core/Command.kt
@@ -12,6 +12,9 @@
 sealed interface Command {
     class Submit(val spec: JobSpec, val answer: (UserAnswer) -> Unit) : Command
 
+    /** A submission with a field that can't be taken, whose id may be known all the same. */
+    class SubmitMalformed(val id: JobId, val problem: String, val answer: (UserAnswer) -> Unit) : Command
+
     class Poll(val id: JobId, val answer: (UserAnswer) -> Unit) : Command
 
     class Cancel(val id: JobId, val answer: (UserAnswer) -> Unit) : Command
--- a/src/main/kotlin/oxbowlug/core/Commits.kt
+++ b/src/main/kotlin/oxbowlug/core/Commits.kt
@@ -2,9 +2,11 @@
 
 import org.slf4j.LoggerFactory
 import oxbowlug.config.Settings
+import oxbowlug.config.WriteLimits
 import oxbowlug.wire.Change
 import oxbowlug.wire.Condition
 import oxbowlug.wire.Transaction
+import oxbowlug.wire.sizeAsJson
 
 /**
  * Writes changed job records, the urgent ones first, in transactions that also compare the view: a late one of an
@@ -21,7 +23,6 @@
     private val replica: Replica,
     private val fleet: Fleet,
 ) {
-    private val valueLimit = settings.state.valueKb * 1024
     private var inFlight = 0
     private var notBefore = 0L
 
@@ -40,41 +41,87 @@
         }
     }
 
-    private fun nextGroup(now: Long): List<Job> {
-        if (fleet.dirty.isEmpty()) return emptyList()
-        val room = minOf(budget.available(now).toInt(), settings.state.txnOps)
-        if (room < 1) return emptyList()
+    private class Prepared(val job: Job, val record: JobRecord, val form: StoredForm, val changes: List<Change>) {
+        val bytes: Int = changes.sumOf { if (it is Change.Put) it.value.sizeAsJson() else 0 }
+    }
+
+    private fun nextGroup(now: Long): List<Prepared> {
+        if (fleet.dirty.isEmpty() || replica.writableFormat == WritableFormat.NONE) return emptyList()
+        val limits = writeLimits()
+        val tokens = budget.available(now)
+        if (tokens < 1.0) return emptyList()
         val due = fleet.dirty.filter { job ->
-            !job.isWriting && (job.isUrgent || now >= (job.dirtySince ?: now) + timing.lazyWriteMs)
+            !job.isWriting && now >= job.writeNotBefore &&
+                (job.isUrgent || now >= (job.dirtySince ?: now) + timing.lazyWriteMs)
         }
-        if (due.isEmpty()) return emptyList()
-        val group = ArrayList<Job>(room)
+        val group = ArrayList<Prepared>()
+        var changes = 0
         var bytes = 0
-        for (job in due.sortedWith(compareBy<Job> { !it.isUrgent }.thenBy { it.spec.priority })) {
-            val size = RecordSize.bound(job)
-            if (group.isNotEmpty() && bytes + size > MAX_BYTES) break
-            group.add(job)
-            bytes += size
-            if (group.size == room) break
+        for (job in due.sortedWith(compareBy<Job> { !it.isUrgent }.thenBy { it.priority })) {
+            if (group.isNotEmpty() && job.isWrittenAlone) continue
+            val next = prepare(job, limits, now) ?: continue
+            // One job's changes belong together; with fewer tokens than it needs, it waits for more.
+            val affordable = if (budget.isFull(now)) maxOf(tokens.toInt(), next.changes.size) else tokens.toInt()
+            val room = minOf(affordable, limits.txnOps)
+            if (changes + next.changes.size > room || group.isNotEmpty() && bytes + next.bytes > MAX_BYTES) break
+            group.add(next)
+            changes += next.changes.size
+            bytes += next.bytes
+            if (changes == room || job.isWrittenAlone) break
         }
         return group
     }
 
-    private fun send(group: List<Job>, now: Long) {
+    /** What values and transactions are built for now. */
+    private fun writeLimits(): WriteLimits =
+        if (replica.writableFormat == WritableFormat.HEAD_AND_PARTS) settings.state.lowest else settings.state.present
+
+    /** Null: it has to shrink first. */
+    private fun prepare(job: Job, limits: WriteLimits, now: Long): Prepared? {
+        val isDivided = replica.writableFormat == WritableFormat.HEAD_AND_PARTS
+        val record = job.record(names.next(), isBrief = isDivided)
+        val whole = record.encode()
+        val form = if (isDivided) RecordLayout(limits).split(whole) else StoredForm(whole, emptyList())
+        if (form == null) {
+            makeSmaller(job, now)
+            return null
+        }
+        return Prepared(job, record, form, changes(job, form))
+    }
+
+    private fun changes(job: Job, form: StoredForm): List<Change> {
+        val id = job.id.value
+        val changes = ArrayList<Change>()
+        changes.add(Change.Put(Keys.job(id), form.head))
+        for ((index, part) in form.parts.withIndex()) {
+            if (job.storedParts.getOrNull(index) != part) changes.add(Change.Put(Keys.part(id, index), part))
+        }
+        for (index in form.parts.size until job.storedParts.size) changes.add(Change.Delete(Keys.part(id, index)))
+        return changes
+    }
+
+    /** Placements that aren't stored were never sent, so they can be taken back; without them the record is smaller. */
+    private fun makeSmaller(job: Job, now: Long) {
+        val takenBack = fleet.takeBackUncommitted(job)
+        log.error("the record of {} is larger than the state service takes; {} placements taken back", job.id, takenBack)
+        job.writeNotBefore = now + timing.workerLeaseRawMs
+    }
+
+    private fun send(group: List<Prepared>, now: Long) {
         inFlight++
-        budget.take(group.size.toDouble(), now)
+        val changes = group.flatMap { it.changes }
+        budget.take(changes.size.toDouble(), now)
         val conditions = ArrayList<Condition>(group.size + 1)
         conditions.add(Condition(Keys.VIEW, view.version))
-        val changes = ArrayList<Change>(group.size)
-        for (job in group) {
+        for (prepared in group) {
+            val job = prepared.job
             conditions.add(Condition(Keys.job(job.id.value), job.version))
-            val record = job.beginWrite(names.next())
+            job.beginWrite(prepared.record, prepared.form.parts)
             fleet.dirty.remove(job)
-            changes.add(Change.Put(Keys.job(job.id.value), record.encode()))
         }
         state.commit(Transaction(conditions, changes)) { outcome ->
             inFlight--
-            take(outcome, group)
+            take(outcome, group.map { it.job })
         }
     }
 
@@ -100,11 +147,7 @@
                 for (job in group) if (job.isWriting) job.notWritten(now)
                 notBefore = now + timing.retryMs()
             }
-            CommitOutcome.Invalid -> {
-                log.error("a transaction of {} records was called malformed", group.size)
-                for (job in group) if (job.isWriting) job.notWritten(now)
-                notBefore = now + timing.retryMs() * 4
-            }
+            CommitOutcome.Invalid, CommitOutcome.LeaseOver -> refuseSize(group, now)
             CommitOutcome.Unanswered -> {
                 // It may have been applied, or may be later: read, then write again under the same versions.
                 replica.catchUp { for (job in group) if (job.isWriting) job.notWritten(clock.steadyMs()) }
@@ -112,6 +155,17 @@
         }
     }
 
+    /** Sent again unchanged it would be refused for ever: first each job alone, then with what can be taken back. */
+    private fun refuseSize(group: List<Job>, now: Long) {
+        for (job in group) if (job.isWriting) job.notWritten(now)
+        if (group.size > 1) {
+            log.error("the state service refused a transaction of {} records for its size", group.size)
+            for (job in group) job.isWrittenAlone = true
+        } else {
+            for (job in group) makeSmaller(job, now)
+        }
+    }
+
     private companion object {
         const val MAX_IN_FLIGHT = 3
         const val MAX_BYTES = 48 * 1024
@@ -119,7 +173,7 @@
     }
 }
 
-/** An upper bound of a record's size in the form in which the state service counts it. */
+/** An upper bound of a record's size as a single value, in the form in which the state service counts it. */
 object RecordSize {
     fun bound(job: Job): Int {
         val machines = job.live.values.mapTo(HashSet()) { it.machine }.size
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -31,12 +31,13 @@
     private val load = Load(meters, timing.tickMs, (settings.policy.replanS * 1000).toLong())
     private val queue = ManyToOneConcurrentArrayQueue<Command>(capacity(settings))
     private val replica = Replica(state, clock, timing, Listener()) { isOurView() }
-    private val authority = Authority(self, state, clock, timing, replica, settings.state.txnOps)
+    private val authority = Authority(self, state, clock, timing, replica, settings.state.lowest.txnOps)
+    private val formatUpgrade = FormatUpgrade(settings, state, clock, timing, replica)
 
     // Half of the write rate is for accepting and cancelling. A controller may use all of that half, since users are
     // rarely everywhere at once; where they are, the state service refuses the surplus and it is tried again.
-    private val leaderWrites = RateBudget(settings.state.writeRps * 0.5)
-    private val ownWrites = RateBudget(settings.state.writeRps * 0.5)
+    private val leaderWrites = RateBudget(settings.state.writeRps * LEADER_SHARE)
+    private val ownWrites = RateBudget(settings.state.writeRps * (1 - LEADER_SHARE))
     private val cloudBudget = RateBudget(settings.cloud.rps * 0.8)
     private val names = Names(self)
     private val deputy = Deputy(self, settings.zone, clock, timing, replica)
@@ -140,6 +141,7 @@
     private fun handle(command: Command) {
         when (command) {
             is Command.Submit -> desk.submit(command.spec, types, command.answer)
+            is Command.SubmitMalformed -> desk.submitMalformed(command.id, command.problem, command.answer)
             is Command.Poll -> desk.poll(command.id, command.answer)
             is Command.Cancel -> desk.cancel(command.id, command.answer)
             is Command.Report -> {
@@ -229,6 +231,7 @@
         answerWaiting()
         if (!fetchingTypes && now >= nextTypesAt) fetchTypes()
         cancellations.tick()
+        formatUpgrade.tick(replica.view?.takeIf { isLeading })
         val role = authority.role()
         val leading = leading()
         if (leading == null || role !is Role.Leader && role !is Role.Caretaker) return remedy.tick()
@@ -245,7 +248,8 @@
     private fun leading(): Leader? {
         val view = replica.view
         val present = leader
-        if (view == null || view.leader != self || authority.role() is Role.Follower) {
+        val mayWrite = replica.writableFormat != WritableFormat.NONE
+        if (view == null || view.leader != self || authority.role() is Role.Follower || !mayWrite) {
             leader = null
             return null
         }
@@ -297,6 +301,19 @@
             leader?.fleet?.takeJob(id, job, value)
             cancellations.learned(id, job, value)
         }
+
+        override fun onDependencyChanged(id: JobId) {
+            leader?.fleet?.dependencyChanged(id)
+        }
+
+        override fun onWritableFormat(format: WritableFormat) {
+            log.info("the data format is now {}", format)
+            if (format != WritableFormat.HEAD_AND_PARTS) return
+            // From here on everything is built for both limits, so that the moment at which they change doesn't matter.
+            leaderWrites.limit(settings.state.lowest.writeRps * LEADER_SHARE)
+            ownWrites.limit(settings.state.lowest.writeRps * (1 - LEADER_SHARE))
+            leader?.divideLargeRecords()
+        }
     }
 
     private companion object {
@@ -307,6 +324,9 @@
         fun capacity(settings: Settings): Int = maxOf(LEAST_QUEUE, settings.limits.maxSockets * 2)
 
         const val LEAST_QUEUE = 4096
+
+        /** Of the write rate; the rest is for accepting and cancelling. */
+        const val LEADER_SHARE = 0.5
         val log = LoggerFactory.getLogger("core")
     }
 }
--- a/src/main/kotlin/oxbowlug/core/Desk.kt
+++ b/src/main/kotlin/oxbowlug/core/Desk.kt
@@ -8,6 +8,7 @@
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobKind
 import oxbowlug.wire.JobSpec
+import oxbowlug.wire.JobSpecCodec
 import oxbowlug.wire.JobView
 import oxbowlug.wire.MachineType
 import oxbowlug.wire.ShownState
@@ -20,8 +21,12 @@
 
     data class Known(val view: JobView) : UserAnswer
 
+    /** Can never run. */
     data class Rejected(val problem: String) : UserAnswer
 
+    /** A field that is missing, mistyped or larger than the service can store. */
+    data class Malformed(val problem: String) : UserAnswer
+
     data object NotFound : UserAnswer
 
     /** Can't be decided now: come back after [retryAfterS]. */
@@ -47,6 +52,7 @@
     private val onToldCancelled: (JobId) -> Unit,
 ) {
     private val admission = AdmissionLimit()
+    private val layout = RecordLayout(settings.state.lowest)
     val inProgress: Int get() = admission.inProgress
     val limit: Int get() = admission.limit
 
@@ -55,32 +61,89 @@
         if (!replica.synced || !stateReachable(now)) return answer(unavailable("the state service is away"))
         // A repeated submission is answered whatever has changed since: it was accepted.
         if (replica.job(spec.id) != null) return answerKnown(spec.id, answer)
+        if (replica.writableFormat == WritableFormat.NONE) return answer(unavailable("the data is of a newer version"))
         if (types.isEmpty()) return answer(unavailable("the machine types are not known yet"))
+        val form = layout.split(newRecord(spec, "").encode())
+        if (form == null) return answer(UserAnswer.Malformed("${largestList(spec)}: is larger than can be stored"))
         Admission.problem(spec, settings, types)?.let { problem ->
-            // Never told of a job that another controller accepted, perhaps under older types.
-            return replica.catchUp { ok ->
-                when {
-                    !ok -> answer(unavailable("the state service is away"))
-                    replica.job(spec.id) != null -> answer(known(spec.id))
-                    else -> answer(UserAnswer.Rejected(problem))
-                }
+            return rejectUnlessKnown(spec.id, answer) { problem }
+        }
+        if (spec.waitsOn.isNotEmpty()) {
+            // Controllers of the version before would drop what it waits for, and start it.
+            if (replica.writableFormat != WritableFormat.HEAD_AND_PARTS) {
+                return answer(unavailable("not all controllers can take jobs that wait for others yet"))
+            }
+            if (predecessorProblem(spec) != null) return submitWhenKnown(spec, answer)
+        }
+        take(spec, now, answer)
+    }
+
+    /** Malformed, but a repeated submission of an accepted job is never told so. */
+    fun submitMalformed(id: JobId, problem: String, answer: (UserAnswer) -> Unit) {
+        if (replica.job(id) != null) answerKnown(id, answer) else answer(UserAnswer.Malformed(problem))
+    }
+
+    /** Another controller may have accepted what it names a moment ago, so the copy catches up before it is refused. */
+    private fun submitWhenKnown(spec: JobSpec, answer: (UserAnswer) -> Unit) {
+        replica.catchUp { ok ->
+            val problem = predecessorProblem(spec)
+            when {
+                !ok -> answer(unavailable("the state service is away"))
+                replica.job(spec.id) != null -> answer(known(spec.id))
+                spec.waitsOn.any { replica.job(it)?.isUnreadable == true } ->
+                    answer(unavailable("a job that it waits for can't be read"))
+                problem != null -> answer(UserAnswer.Rejected(problem))
+                else -> take(spec, clock.steadyMs(), answer)
+            }
+        }
+    }
+
+    /** Null when all the jobs that it names were accepted and can end. */
+    private fun predecessorProblem(spec: JobSpec): String? {
+        for (predecessor in spec.waitsOn) {
+            val stored = replica.job(predecessor)
+            val problem = when {
+                predecessor == spec.id -> "is the job itself"
+                stored == null -> "was never submitted"
+                stored.isUnreadable -> "can't be read"
+                stored.kind == JobKind.SERVICE -> "is a service, which is never done"
+                else -> continue
             }
+            return "${JobSpecCodec.WAITS_ON}: $predecessor $problem"
         }
+        return null
+    }
+
+    /** Never told of a job that another controller accepted, perhaps under older types. */
+    private fun rejectUnlessKnown(id: JobId, answer: (UserAnswer) -> Unit, problem: () -> String) {
+        replica.catchUp { ok ->
+            when {
+                !ok -> answer(unavailable("the state service is away"))
+                replica.job(id) != null -> answer(known(id))
+                else -> answer(UserAnswer.Rejected(problem()))
+            }
+        }
+    }
+
+    private fun largestList(spec: JobSpec): String =
+        if (spec.waitsOn.size > spec.types.orEmpty().size) JobSpecCodec.WAITS_ON else JobSpecCodec.TYPES
+
+    private fun take(spec: JobSpec, now: Long, answer: (UserAnswer) -> Unit) {
         if (budget.available(now) < 1.0 || !admission.tryEnter()) {
             log.debug("too many submissions: {} in progress of {}", inProgress, limit)
             meters.refused("overload")
             return answer(UserAnswer.Overloaded(RETRY_AFTER_S))
         }
-        budget.take(1.0, now)
         accept(spec, now, answer)
     }
 
+    private fun newRecord(spec: JobSpec, write: String) =
+        JobRecord(spec, clock.wallMs(), Phase.ACTIVE, BitSet(), 1, emptyMap(), write)
+
     private fun accept(spec: JobSpec, now: Long, answer: (UserAnswer) -> Unit) {
-        val record = JobRecord(
-            spec, clock.wallMs(), Phase.ACTIVE, BitSet(), 1, emptyMap(), names.next(),
-        )
-        val key = Keys.job(spec.id.value)
-        val transaction = Transaction(listOf(Condition(key, 0)), listOf(Change.Put(key, record.encode())))
+        val record = newRecord(spec, names.next()).encode()
+        val transaction = Transaction(listOf(Condition(Keys.job(spec.id.value), 0)), changes(spec.id, record))
+        budget.take(transaction.changes.size.toDouble(), now)
         state.commit(transaction) { outcome ->
             val tookMs = clock.steadyMs() - now
             admission.leave(tookMs, outcome is CommitOutcome.Applied)
@@ -89,13 +152,22 @@
                 is CommitOutcome.Applied -> answerAccepted(spec.id, answer)
                 is CommitOutcome.Conflict -> answerKnown(spec.id, answer)
                 CommitOutcome.Refused -> answer(unavailable("the state service is busy"))
-                CommitOutcome.Invalid -> answer(unavailable("the state service did not take it"))
+                CommitOutcome.Invalid, CommitOutcome.LeaseOver ->
+                    answer(unavailable("the state service did not take it"))
                 // Settled by reading, never guessed; if it isn't there it may still come, and the user asks again.
                 CommitOutcome.Unanswered -> answerKnown(spec.id, answer)
             }
         }
     }
 
+    private fun changes(id: JobId, record: Map<String, Any?>): List<Change> {
+        val whole = StoredForm(record, emptyList())
+        val isDivided = replica.writableFormat == WritableFormat.HEAD_AND_PARTS
+        val form = if (isDivided) layout.split(record) ?: whole else whole
+        return listOf(Change.Put(Keys.job(id.value), form.head)) +
+            form.parts.mapIndexed { index, part -> Change.Put(Keys.part(id.value, index), part) }
+    }
+
     /** Its answer may have been slow, and another controller may have confirmed the job's cancellation meanwhile. */
     private fun answerAccepted(id: JobId, answer: (UserAnswer) -> Unit) {
         val stored = replica.job(id)
@@ -145,7 +217,8 @@
             when {
                 !ok -> answer(unavailable("the state service is away"))
                 stored == null -> answer(UserAnswer.NotFound)
-                stored.phase.isFinal || value == null -> answer(known(id, stored))
+                stored.phase.isFinal || stored.isUnreadable || value == null -> answer(known(id, stored))
+                replica.writableFormat == WritableFormat.NONE -> answer(unavailable("the data is of a newer version"))
                 triesLeft == 0 -> answer(unavailable("the job keeps changing"))
                 else -> commitCancel(id, stored, value, triesLeft, answer)
             }
@@ -164,16 +237,25 @@
         val cancelled = LinkedHashMap(value)
         cancelled["phase"] = Phase.CANCELLED.wire
         cancelled[JobRecord.CANCELLED_AT] = clock.wallMs()
-        val transaction = Transaction(listOf(Condition(key, stored.version)), listOf(Change.Put(key, cancelled)))
-        budget.take(1.0, clock.steadyMs())
+        // Its parts stay as they are; a record that was written whole by the version before is divided if need be.
+        val changes = if (RecordLayout.partCount(value) > 0)
+            listOf(Change.Put(key, layout.headAlone(cancelled)))
+        else
+            changes(id, cancelled)
+        val transaction = Transaction(listOf(Condition(key, stored.version)), changes)
+        budget.take(changes.size.toDouble(), clock.steadyMs())
         state.commit(transaction) { outcome ->
             when (outcome) {
                 is CommitOutcome.Applied -> {
+                    // The changes are known by their own revision, and so is the number of parts.
+                    val parts = changes.size - 1
+                    if (parts > 0) cancelled[RecordLayout.PARTS] = parts.toLong()
                     onCancelled(id, outcome.revision, cancelled)
                     answer(UserAnswer.Known(JobView(id, ShownState.CANCELLED, stored.done, 0)))
                 }
                 is CommitOutcome.Conflict, CommitOutcome.Unanswered -> cancel(id, triesLeft - 1, answer)
-                CommitOutcome.Refused, CommitOutcome.Invalid -> answer(unavailable("the state service is busy"))
+                CommitOutcome.Refused, CommitOutcome.Invalid, CommitOutcome.LeaseOver ->
+                    answer(unavailable("the state service is busy"))
             }
         }
     }
@@ -181,6 +263,7 @@
     private fun known(id: JobId): UserAnswer = known(id, replica.job(id) ?: error("$id was just there"))
 
     private fun known(id: JobId, stored: StoredJob): UserAnswer {
+        if (stored.isUnreadable) return unavailable("the job's record can't be read")
         if (stored.phase == Phase.CANCELLED) onToldCancelled(id)
         return UserAnswer.Known(stored.view(id))
     }
--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -27,6 +27,8 @@
     /** Images by machine as an earlier leader told them: a hint for prices, never a fact. */
     private val rememberedImages: Map<MachineId, List<ImageName>> = emptyMap(),
     teams: Map<TeamName, Team> = emptyMap(),
+    /** What a job's predecessors mean for it, as committed. */
+    private val dependencyState: (List<JobId>) -> DependencyState = { DependencyState.READY },
 ) {
     private val limits = TeamLimits(teams, timing)
     val jobs = LinkedHashMap<JobId, Job>()
@@ -65,9 +67,11 @@
             val job = Job(record, stored.version, dirty::add)
             if (record.phase == Phase.CANCELLED) job.cancelledAt = cancelledAt(record, now)
             jobs[id] = job
-            arrivals.add(job.spec, job.submittedMs)
+            // Jobs that wait for others are known to come; they aren't guessed at.
+            if (job.spec.waitsOn.isEmpty()) arrivals.add(job.spec, job.submittedMs)
             job.liveFrom(record)
             attachAll(job)
+            followPredecessors(job, now)
             planWanted = true
             return
         }
@@ -82,7 +86,7 @@
         }
         if (present.phase == Phase.CANCELLED) {
             if (wasActive) {
-                arrivals.leave(present.spec, clock.wallMs())
+                if (present.spec.waitsOn.isEmpty()) arrivals.leave(present.spec, clock.wallMs())
                 present.cancelledAt = cancelledAt(record, now)
             }
             stopCancelled(present)
@@ -90,6 +94,21 @@
         planWanted = true
     }
 
+    /** A predecessor is done or cancelled. */
+    fun dependencyChanged(id: JobId) {
+        jobs[id]?.let { followPredecessors(it, clock.steadyMs()) }
+        planWanted = true
+    }
+
+    private fun followPredecessors(job: Job, now: Long) {
+        if (job.spec.waitsOn.isEmpty() || job.phase != Phase.ACTIVE) return
+        when (dependencyState(job.spec.waitsOn)) {
+            DependencyState.READY -> if (job.readyMs == null) job.readyMs = clock.wallMs()
+            DependencyState.CANCELLED -> job.cancelByPredecessor(now, clock.wallMs())
+            DependencyState.WAITING -> Unit
+        }
+    }
+
     /** Counted from when its user was told, not from when this leader learned of it: it may have been elected since. */
     private fun cancelledAt(record: JobRecord, now: Long): Long {
         val ageMs = record.cancelledMs?.let { clock.wallMs() - it } ?: 0
@@ -110,7 +129,16 @@
         }
     }
 
+    /** Placements that were never written, so no start of them was sent; returns how many. */
+    fun takeBackUncommitted(job: Job): Int {
+        val uncommitted = job.live.values.filter { !it.committed }
+        uncommitted.forEach(::remove)
+        return uncommitted.size
+    }
+
     fun place(job: Job, task: Int, host: Machine) {
+        // Started before its predecessors' ends are committed, it would run even if one of them is cancelled instead.
+        check(job.readyMs != null) { "${job.id} waits for other jobs" }
         val placed = job.place(task, host.id, clock.steadyMs())
         host.live[placed.attempt] = placed
         host.idleSince = null
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/FormatUpgrade.kt
@@ -0,0 +1,51 @@
+package oxbowlug.core
+
+import org.slf4j.LoggerFactory
+import oxbowlug.config.Settings
+import oxbowlug.wire.Change
+import oxbowlug.wire.Condition
+import oxbowlug.wire.Transaction
+
+/**
+ * Switches the newest layout of stored data on, once every controller of the settings has come up with a version that
+ * reads it. Each notes that in a key of its own, which outlives its lease: an upgraded controller never comes back old,
+ * but one that isn't there now may. The marker is written under the leader's view and is never taken back.
+ */
+class FormatUpgrade(
+    private val settings: Settings,
+    private val state: StatePort,
+    private val clock: Clock,
+    private val timing: Timing,
+    private val replica: Replica,
+) {
+    private var isWriting = false
+    private var notBefore = 0L
+    private val labels = settings.peers.map { it.label } + settings.label
+
+    /** [view] is the view under which this controller leads, or null. */
+    fun tick(view: View?) {
+        val now = clock.steadyMs()
+        if (!replica.synced || isWriting || now < notBefore) return
+        if ((replica.formatOf(settings.label) ?: 0) < DataFormat.NEWEST) {
+            write(now, emptyList(), Change.Put(Keys.format(settings.label), DataFormat.encode(DataFormat.NEWEST)))
+        } else if (view != null && replica.writableFormat == WritableFormat.SINGLE_VALUE && allRead()) {
+            log.info("all {} controllers read data format {}, switching it on", labels.size, DataFormat.NEWEST)
+            val conditions = listOf(Condition(Keys.VIEW, view.version), Condition(Keys.FORMAT, 0))
+            write(now, conditions, Change.Put(Keys.FORMAT, DataFormat.encode(DataFormat.NEWEST)))
+        }
+    }
+
+    private fun allRead(): Boolean = labels.all { (replica.formatOf(it) ?: 0) >= DataFormat.NEWEST }
+
+    private fun write(now: Long, conditions: List<Condition>, change: Change) {
+        isWriting = true
+        // The copy brings what was written; until then it would be written again.
+        notBefore = now + timing.workerLeaseRawMs / PAUSES_A_LEASE
+        state.commit(Transaction(conditions, listOf(change))) { isWriting = false }
+    }
+
+    private companion object {
+        const val PAUSES_A_LEASE = 10
+        val log = LoggerFactory.getLogger("upgrade")
+    }
+}
--- a/src/main/kotlin/oxbowlug/core/Job.kt
+++ b/src/main/kotlin/oxbowlug/core/Job.kt
@@ -69,6 +69,24 @@
     private var lastWrite = record.write
     private var pendingRecord: JobRecord? = null
 
+    /** As they are in the state service; null where only their number is known. */
+    var storedParts: List<Map<String, Any?>?> = arrayOfNulls<Map<String, Any?>>(record.partCount).asList()
+        private set
+    private var pendingParts: List<Map<String, Any?>> = emptyList()
+
+    /** The state service refused a write of this job alone, for its size: the same is not sent again. */
+    var writeNotBefore = 0L
+    var isWrittenAlone = false
+
+    /** The most urgent of its own priority and of those of the jobs that need it. */
+    var priority = spec.priority
+
+    /** When it has to be done for the jobs after it to keep their deadlines, by the time of day; null: no deadline. */
+    var latestEndMs: Long? = null
+
+    /** When all its predecessors were known to be done, by the time of day. Nothing of it starts before. */
+    var readyMs: Long? = if (spec.waitsOn.isEmpty()) record.submittedMs else null
+
     /** Differs from what is stored. */
     var dirtySince: Long? = null
         private set
@@ -151,15 +169,23 @@
     private fun holds(placements: Map<Int, Placement>, attempt: Attempt): Boolean =
         placements[attempt.task.index]?.attempt == attempt.number
 
-    fun beginWrite(write: String): JobRecord {
-        val record = JobRecord(
-            spec, submittedMs, phase, done.clone() as BitSet, nextAttempt,
-            live.mapValues { (_, placed) -> Placement(placed.machine, placed.number) }, write, cancelledMs,
-        )
+    /** What is to be written now, under the name [write]; [isBrief] leaves out what nobody asks for any more. */
+    fun record(write: String, isBrief: Boolean = false) = JobRecord(
+        spec, submittedMs, phase, if (isBrief) briefDone() else done.clone() as BitSet, nextAttempt,
+        live.mapValues { (_, placed) -> Placement(placed.machine, placed.number) }, write, cancelledMs,
+    )
+
+    /** Of a cancelled job that is over nobody asks which tasks were done, only how many. */
+    private fun briefDone(): BitSet {
+        if (phase != Phase.CANCELLED || live.isNotEmpty()) return done.clone() as BitSet
+        return BitSet().apply { set(0, done.cardinality()) }
+    }
+
+    fun beginWrite(record: JobRecord, parts: List<Map<String, Any?>>) {
         pendingRecord = record
+        pendingParts = parts
         dirtySince = null
         isUrgent = false
-        return record
     }
 
     fun written(revision: Long) {
@@ -167,6 +193,7 @@
         pendingRecord = null
         version = maxOf(version, revision)
         stored = record.placements
+        storedParts = pendingParts
         lastWrite = record.write
         for ((task, placement) in record.placements) {
             val placed = live[task]
@@ -174,6 +201,18 @@
         }
     }
 
+    /** Is written again though nothing changed: its record is larger than values may be soon. */
+    fun rewrite(now: Long) = touch(now, urgent = false)
+
+    /** A job that it needs is cancelled, so it never had a task, and its own record only has to say so in the end. */
+    fun cancelByPredecessor(now: Long, wallMs: Long) {
+        if (phase != Phase.ACTIVE) return
+        phase = Phase.CANCELLED
+        cancelledAt = now
+        cancelledMs = wallMs
+        touch(now, urgent = false)
+    }
+
     /** Surely not written, or not known: it is written again, under the same condition on the version. */
     fun notWritten(now: Long) {
         pendingRecord = null
@@ -190,10 +229,14 @@
         if (pending != null && record.write == pending.write) written(newVersion)
         version = newVersion
         stored = record.placements
+        if (record.partCount != storedParts.size) {
+            storedParts = arrayOfNulls<Map<String, Any?>>(record.partCount).asList()
+        }
         var replaced = false
         if (record.write != lastWrite) {
             lastWrite = record.write
             pendingRecord = null
+            storedParts = arrayOfNulls<Map<String, Any?>>(record.partCount).asList()
             done.clear()
             done.or(record.done)
             nextAttempt = maxOf(nextAttempt, record.nextAttempt)
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -14,6 +14,7 @@
 import oxbowlug.wire.TypeName
 import oxbowlug.wire.WorkerCommand
 import oxbowlug.wire.WorkerReport
+import oxbowlug.wire.sizeAsJson
 
 /** What a leader has beside its model: everything here ends with its view. */
 class Leader(
@@ -35,11 +36,12 @@
     private val startedAt = clock.steadyMs()
     val fleet = Fleet(
         view.token, clock, timing, Arrivals(settings, timing.arrivalsMs), rememberedImages, settings.teams,
+        replica::dependencyState,
     )
     val deputies = ZoneDeputies(view, settings, state, clock, timing, replica)
     private val commits = Commits(view, names, settings, state, clock, timing, writeBudget, replica, fleet)
     private val rentals = Rentals(names, settings, cloud, clock, timing, cloudBudget, fleet)
-    private val planning = Planning(settings, clock, timing, fleet, rentals, startedAt)
+    private val planning = Planning(settings, clock, timing, fleet, rentals, startedAt) { replica.writableFormat }
     private val tokenSpread =
         TokenSpread(fleet, workers, clock, timing, startedAt, settings.limits.maxSockets / SPREAD_SHARE, mayBeAnswered)
     private var nextPlanAt = 0L
@@ -54,6 +56,21 @@
 
     init {
         replica.forEachActive { id, stored -> stored.value?.let { fleet.takeJob(id, stored, it) } }
+        if (replica.writableFormat == WritableFormat.HEAD_AND_PARTS) divideLargeRecords()
+    }
+
+    /**
+     * Records that were written whole and are larger than values may be soon are written anew, the largest first, as
+     * the least urgent of all writes.
+     */
+    fun divideLargeRecords() {
+        val limit = settings.state.lowest.valueKb * BYTES_PER_KB
+        val now = clock.steadyMs()
+        fleet.jobs.values
+            .map { job -> job to if (job.storedParts.isEmpty()) job.record("").encode().sizeAsJson() else 0 }
+            .filter { (_, bytes) -> bytes > limit }
+            .sortedByDescending { (_, bytes) -> bytes }
+            .forEach { (job, _) -> job.rewrite(now) }
     }
 
     private var lastReportAt: Long? = null
@@ -249,6 +266,7 @@
     private companion object {
         /** A plan is followed by a pause of this many times its length less one. */
         const val PLAN_RESTS = 5
+        const val BYTES_PER_KB = 1024
         const val SCARCE_PATIENCE = 3
 
         /** Machines that can't be reached hold a socket each until the call is given up. */
--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -29,13 +29,18 @@
     private val fleet: Fleet,
     private val rentals: Rentals,
     private val startedAt: Long,
+    private val writableFormat: () -> WritableFormat,
 ) {
     private val policy = settings.policy
     private val weights = ClassWeights(settings)
     private val valueLimit = (settings.state.valueKb * 1024).toInt()
+    private val dividedRecords = RecordLayout(settings.state.lowest)
+
+    private var longestMachineName = LONG_MACHINE_NAME
 
     fun snapshot(types: Map<TypeName, MachineType>, mayMove: Boolean): Snapshot {
         val now = clock.steadyMs()
+        InheritedUrgency.update(fleet.jobs, types.values, timing.pipelineStageMs)
         val teams = settings.teams.mapValues { (_, team) ->
             PlanTeam(team.maxCores, team.maxGpus, team.guaranteedCores, team.guaranteedGpus)
         }
@@ -47,6 +52,7 @@
                 if (!placed.isWanted) team.expectStop(need)
             }
         }
+        longestMachineName = fleet.machines.keys.maxOfOrNull { it.value.length } ?: LONG_MACHINE_NAME
         val machines = ArrayList<PlanMachine>(fleet.machines.size)
         val zoneUses = ZoneUses(fleet, settings.zones)
         val pledges = pledges()
@@ -83,13 +89,15 @@
 
     private fun job(job: Job, zoneUses: ZoneUses, now: Long): PlanJob? {
         if (job.phase != Phase.ACTIVE || now < job.holdUntil) return null
+        val readyMs = job.readyMs ?: return null
         // A gang starts again only as a whole: what is left of it ends by itself when its mates are gone.
         if (job.spec.kind == JobKind.GANG && job.live.isNotEmpty()) return null
         if (job.spec.oneZone && !zoneUses.isKnown(job)) return null
         val pending = job.pendingTasks(minOf(MAX_TASKS_PER_ROUND, recordRoom(job)))
         if (pending.isEmpty()) return null
         job.avoid.values.removeIf { it <= now }
-        val waitedS = (clock.wallMs() - job.submittedMs) / 1000.0
+        val nowMs = clock.wallMs()
+        val waitedS = (nowMs - readyMs) / 1000.0
         return PlanJob(
             id = job.id,
             spec = job.spec,
@@ -97,10 +105,11 @@
             zoneUse = zoneUses.of(job),
             waitedS = waitedS,
             estimateS = if (job.spec.kind == JobKind.SERVICE) 0.0 else job.spec.estimateS,
-            deadlineInS = job.spec.deadlineS?.let { it - waitedS },
+            deadlineInS = job.latestEndMs?.let { (it - nowMs) / 1000.0 },
             weight = weights.of(job.spec.className),
             avoid = job.avoid.keys,
             isMoving = now < job.movingUntil,
+            priority = job.priority,
         )
     }
 
@@ -127,6 +136,7 @@
 
     /** How many more tasks may be placed so that the record stays inside the value limit, however they end. */
     private fun recordRoom(job: Job): Int {
+        if (writableFormat() == WritableFormat.HEAD_AND_PARTS) return dividedRoom(job)
         val perTask = JobRecord.PLACEMENT_BOUND + Ranges.RANGE_BOUND
         val room = valueLimit - JobRecord.SPEC_BOUND - Ranges.sizeBound(job.done)
         val many = (room - fleet.machines.size * JobRecord.MACHINE_BOUND) / perTask
@@ -134,6 +144,13 @@
         return (maxOf(many, few) - job.live.size).coerceAtLeast(0)
     }
 
+    private fun dividedRoom(job: Job): Int {
+        val record = job.record("")
+        val perTask = longestMachineName + record.nextAttempt.toString().length +
+            2 * job.spec.tasks.toString().length + PLACEMENT_MARKS
+        return (dividedRecords.roomInParts(record.encode()) / perTask).coerceAtLeast(if (job.live.isEmpty()) 1 else 0)
+    }
+
     private fun machine(
         host: Machine,
         types: Map<TypeName, MachineType>,
@@ -206,7 +223,7 @@
     private fun leastUrgent(host: Machine): Priority? {
         var least: Priority? = null
         for (placed in host.live.values) {
-            val priority = placed.job.spec.priority
+            val priority = placed.job.priority
             if (placed.isWanted && (least == null || priority > least)) least = priority
         }
         return least
@@ -223,6 +240,7 @@
             fetchS = type.fetchS(spec),
             weight = weights.of(spec.className),
             stopping = !placed.isWanted,
+            priority = placed.job.priority,
         )
     }
 
@@ -285,7 +303,11 @@
     private companion object {
         const val MAX_TASKS_PER_ROUND = 512
         const val SOON_S = 1.0
+        const val LONG_MACHINE_NAME = 24
         const val SPARE = 2.0
+
+        /** Quotes, separators and brackets around a machine's name, an attempt and a range in a record. */
+        const val PLACEMENT_MARKS = 14
     }
 }
 
--- a/src/main/kotlin/oxbowlug/core/Ports.kt
+++ b/src/main/kotlin/oxbowlug/core/Ports.kt
@@ -32,7 +32,10 @@
     /** Surely not executed: 429 or 503. */
     data object Refused : CommitOutcome
 
-    /** The lease named in it is over, or the service found it malformed. Surely not executed. */
+    /** The lease named in it is over. Surely not executed. */
+    data object LeaseOver : CommitOutcome
+
+    /** Malformed to the service, or larger than it takes. Surely not executed, and never if sent again unchanged. */
     data object Invalid : CommitOutcome
 
     /** No answer: executed, or not, or later. */
--- a/src/main/kotlin/oxbowlug/core/RateBudget.kt
+++ b/src/main/kotlin/oxbowlug/core/RateBudget.kt
@@ -1,7 +1,8 @@
 package oxbowlug.core
 
 /** A token bucket that holds one second's worth: this controller's share of a published rate. */
-class RateBudget(private val perSecond: Double, private val burst: Double = perSecond) {
+class RateBudget(private var perSecond: Double) {
+    private val burst: Double get() = perSecond
     private var tokens = burst
     private var updatedMs = Long.MIN_VALUE
 
@@ -11,6 +12,15 @@
         return tokens
     }
 
+    /** Nothing more is gained by waiting. */
+    fun isFull(now: Long): Boolean = available(now) >= burst - ROUNDING
+
+    /** From now on no more than this. */
+    fun limit(next: Double) {
+        perSecond = minOf(perSecond, next)
+        tokens = minOf(tokens, perSecond)
+    }
+
     fun take(amount: Double, now: Long) {
         available(now)
         tokens -= amount
@@ -21,4 +31,8 @@
         tokens -= amount
         return true
     }
+
+    private companion object {
+        const val ROUNDING = 1e-6
+    }
 }
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/RecordLayout.kt
@@ -0,0 +1,218 @@
+package oxbowlug.core
+
+import oxbowlug.config.WriteLimits
+import oxbowlug.wire.InvalidField
+import oxbowlug.wire.JobSpecCodec
+import oxbowlug.wire.fields
+import oxbowlug.wire.sizeAsJson
+
+/** A job's record as it is stored: the head decides everything about the job, the parts hold what has no room there. */
+class StoredForm(val head: Map<String, Any?>, val parts: List<Map<String, Any?>>)
+
+/**
+ * Divides a job's record into values of at most [limits]. A record that fits is stored whole, as the versions before
+ * did. Otherwise the head keeps the specification, the phase and the number of parts, so that a cancellation is one
+ * small write; placements, ranges of done tasks, and where need be lists of the specification go to the parts. Head and
+ * changed parts are always written in one transaction under the head's version, so no part can follow a cancellation.
+ */
+class RecordLayout(limits: WriteLimits) {
+    private val valueBytes = (limits.valueKb * BYTES_PER_KB).toInt()
+
+    /** The head takes one of a transaction's changes, and a part of the bytes that one may have. */
+    private val mostParts = minOf(limits.txnOps - 1, TRANSACTION_BYTES / valueBytes - 1).coerceIn(0, MOST_PARTS)
+
+    /** Null when the record is larger than one transaction of such values. */
+    fun split(record: Map<String, Any?>): StoredForm? {
+        val whole = LinkedHashMap(record)
+        whole.remove(PARTS)
+        if (whole.sizeAsJson() <= valueBytes) return StoredForm(whole, emptyList())
+        val pieces = ArrayList<Piece>()
+        val head = LinkedHashMap(whole)
+        head.remove(RUN)
+        head.remove(DONE)
+        if (head.sizeAsJson() + HEAD_RESERVE > valueBytes) moveLists(head, pieces)
+        if (head.sizeAsJson() + HEAD_RESERVE > valueBytes) return null
+        addPlacements(whole, pieces)
+        addDone(whole, pieces)
+        val parts = pack(pieces) ?: return null
+        head[PARTS] = parts.size.toLong()
+        return StoredForm(head, parts)
+    }
+
+    /**
+     * The head alone of a record with the parts that it has in the state service, which stay as they are: a
+     * cancellation is written so. Lists of the specification mean nothing to a cancelled job.
+     */
+    fun headAlone(record: Map<String, Any?>): Map<String, Any?> {
+        val head = LinkedHashMap(record)
+        head.remove(RUN)
+        head.remove(DONE)
+        if (head.sizeAsJson() > valueBytes) moveLists(head, ArrayList())
+        return head
+    }
+
+    /** Bytes that tasks may still take in the parts, less what is lost where parts don't fill up. */
+    fun roomInParts(record: Map<String, Any?>): Int {
+        if (mostParts == 0) return valueBytes - record.sizeAsJson()
+        val used = (record[RUN]?.sizeAsJson() ?: 0) + (record[DONE]?.sizeAsJson() ?: 0)
+        return (mostParts * (valueBytes - PART_RESERVE - LARGEST_PIECE)) - used
+    }
+
+    private fun moveLists(head: LinkedHashMap<String, Any?>, pieces: ArrayList<Piece>) {
+        val spec = LinkedHashMap(head.fields().map(SPEC))
+        for (field in MOVABLE_LISTS) {
+            val list = spec.remove(field) ?: continue
+            pieces.add(Piece.SpecList(field, list))
+        }
+        head[SPEC] = spec
+    }
+
+    private fun addPlacements(whole: Map<String, Any?>, pieces: ArrayList<Piece>) {
+        val run = whole[RUN] as? Map<*, *> ?: return
+        val prefix = commonPrefix(run.keys.map { it.toString() })
+        for ((machine, attempts) in run) {
+            for (text in attempts.toString().split(';')) {
+                val number = text.substringBefore(':')
+                for (ranges in chunks(text.substringAfter(':'))) {
+                    pieces.add(Piece.Placement(prefix, machine.toString().substring(prefix.length), "$number:$ranges"))
+                }
+            }
+        }
+    }
+
+    private fun addDone(whole: Map<String, Any?>, pieces: ArrayList<Piece>) {
+        val done = whole[DONE] as? String ?: return
+        for (ranges in chunks(done)) pieces.add(Piece.Done(ranges))
+    }
+
+    private fun pack(pieces: List<Piece>): List<Map<String, Any?>>? {
+        val parts = ArrayList<PartBuilder>()
+        for (piece in pieces) {
+            if (parts.isEmpty() || !parts.last().hasRoomFor(piece)) parts.add(PartBuilder(valueBytes))
+            if (!parts.last().hasRoomFor(piece)) return null
+            parts.last().add(piece)
+        }
+        return if (parts.size <= mostParts) parts.map { it.build() } else null
+    }
+
+    private sealed interface Piece {
+        val bytes: Int
+
+        class SpecList(val field: String, val list: Any) : Piece {
+            override val bytes get() = field.sizeAsJson() + list.sizeAsJson() + SEPARATORS
+        }
+
+        class Placement(val prefix: String, val machine: String, val tasks: String) : Piece {
+            override val bytes get() = machine.sizeAsJson() + tasks.sizeAsJson() + SEPARATORS
+        }
+
+        class Done(val ranges: String) : Piece {
+            override val bytes get() = ranges.length + 1
+        }
+    }
+
+    private class PartBuilder(private val limit: Int) {
+        private val spec = LinkedHashMap<String, Any?>()
+        private val run = LinkedHashMap<String, String>()
+        private val done = StringBuilder()
+        private var prefix = ""
+        private var bytes = PART_RESERVE
+
+        fun hasRoomFor(piece: Piece): Boolean = bytes + piece.bytes <= limit
+
+        fun add(piece: Piece) {
+            bytes += piece.bytes
+            when (piece) {
+                is Piece.SpecList -> spec[piece.field] = piece.list
+                is Piece.Placement -> {
+                    prefix = piece.prefix
+                    run.merge(piece.machine, piece.tasks) { one, other -> "$one;$other" }
+                }
+                is Piece.Done -> {
+                    if (done.isNotEmpty()) done.append(',')
+                    done.append(piece.ranges)
+                }
+            }
+        }
+
+        fun build(): Map<String, Any?> {
+            val part = LinkedHashMap<String, Any?>()
+            if (spec.isNotEmpty()) part[SPEC] = spec
+            if (run.isNotEmpty()) {
+                part[PREFIX] = prefix
+                part[RUN] = run
+            }
+            if (done.isNotEmpty()) part[DONE] = done.toString()
+            return part
+        }
+    }
+
+    companion object {
+        /** The head's field that says how many parts there are; absent when there is none. */
+        const val PARTS = "parts"
+        private const val SPEC = "spec"
+        private const val RUN = "run"
+        private const val DONE = "done"
+        private const val PREFIX = "prefix"
+        private val MOVABLE_LISTS = listOf(JobSpecCodec.WAITS_ON, JobSpecCodec.TYPES)
+        private const val BYTES_PER_KB = 1024
+
+        /** A transaction may have 64 KiB; what stands around its values is left room. */
+        private const val TRANSACTION_BYTES = 48 * 1024
+
+        /** More would be written at once too rarely to be worth a longer transaction. */
+        private const val MOST_PARTS = 8
+        private const val SEPARATORS = 4
+
+        /** The phase, its time and the number of parts may still be added to a head. */
+        private const val HEAD_RESERVE = 64
+
+        /** Field names and brackets of a part, with the machines' common prefix. */
+        private const val PART_RESERVE = 128
+        private const val RANGES_A_PIECE = 8
+
+        /** A machine's name and so many ranges. */
+        private const val LARGEST_PIECE = 160
+
+        fun partCount(head: Map<String, Any?>): Int = head.fields().countOr(PARTS, 0).toInt()
+
+        /** The whole record of a head and its parts. Throws [InvalidField] if one is missing or can't be read. */
+        fun merge(head: Map<String, Any?>, part: (Int) -> Map<String, Any?>?): Map<String, Any?> {
+            val count = partCount(head)
+            if (count == 0) return head
+            val spec = LinkedHashMap(head.fields().map(SPEC))
+            val run = LinkedHashMap<String, Any?>()
+            val done = ArrayList<String>()
+            for (index in 0 until count) {
+                val fields = (part(index) ?: throw InvalidField("parts[$index]", "is missing")).fields()
+                if (fields.has(SPEC)) spec.putAll(fields.map(SPEC))
+                if (fields.has(RUN)) addRun(fields.textOrNull(PREFIX).orEmpty(), fields.map(RUN), run)
+                fields.textOrNull(DONE, Int.MAX_VALUE)?.let(done::add)
+            }
+            val whole = LinkedHashMap(head)
+            whole[SPEC] = spec
+            if (done.isNotEmpty()) whole[DONE] = done.joinToString(",")
+            if (run.isNotEmpty()) whole[RUN] = run
+            return whole
+        }
+
+        private fun addRun(prefix: String, part: Map<String, Any?>, run: LinkedHashMap<String, Any?>) {
+            for ((machine, text) in part) {
+                val tasks = text as? String ?: throw InvalidField(RUN, "must hold texts")
+                run.merge(prefix + machine, tasks) { one, other -> "$one;$other" }
+            }
+        }
+
+        /** Up to the last letter that the names share: machines are numbered. */
+        private fun commonPrefix(names: List<String>): String {
+            val shared = names.reduceOrNull { one, other -> one.commonPrefixWith(other) }.orEmpty()
+            return shared.take(MAX_PREFIX).trimEnd { it.isDigit() }
+        }
+
+        private const val MAX_PREFIX = 64
+
+        /** At most so many ranges each, so that one machine with many tasks can be divided between parts. */
+        private fun chunks(ranges: String): List<String> =
+            ranges.split(',').chunked(RANGES_A_PIECE).map { it.joinToString(",") }
+    }
+}
--- a/src/main/kotlin/oxbowlug/core/Records.kt
+++ b/src/main/kotlin/oxbowlug/core/Records.kt
@@ -20,8 +20,21 @@
     const val MEMBERS = "ox/r/m/"
     const val DEPUTIES = "ox/r/deputies"
 
+    /** Parts of jobs whose records don't fit one value: the job's id, a slash and the part's number. */
+    const val PARTS = "ox/p/"
+
+    /** What each controller's version reads, by label, kept without a lease: its end doesn't make it unknown. */
+    const val FORMATS = "ox/f/"
+
+    /** The layout that all controllers read; absent while one of them may read single values only. */
+    const val FORMAT = "ox/format"
+
     fun job(id: String): String = JOBS + id
 
+    fun part(id: String, index: Int): String = "$PARTS$id/$index"
+
+    fun format(label: String): String = FORMATS + label
+
     fun memberOf(key: String): Member? {
         val dot = key.lastIndexOf('.')
         return if (dot <= MEMBERS.length) null else Member(key.substring(MEMBERS.length, dot), key.substring(dot + 1))
@@ -89,6 +102,8 @@
     val write: String,
     /** By the time of day, when its user was about to be told; a later leader counts the time allowed from there. */
     val cancelledMs: Long? = null,
+    /** In how many parts it is stored beside its head. */
+    val partCount: Int = 0,
 ) {
     fun encode(): Map<String, Any?> {
         val map = LinkedHashMap<String, Any?>()
@@ -133,6 +148,7 @@
                 placements = if (fields.has("run")) decodePlacements(fields.map("run")) else emptyMap(),
                 write = fields.text("by"),
                 cancelledMs = if (fields.has(CANCELLED_AT)) fields.count(CANCELLED_AT) else null,
+                partCount = RecordLayout.partCount(value),
             )
         }
 
--- a/src/main/kotlin/oxbowlug/core/Replica.kt
+++ b/src/main/kotlin/oxbowlug/core/Replica.kt
@@ -6,25 +6,6 @@
 import oxbowlug.wire.Event
 import oxbowlug.wire.InvalidField
 import oxbowlug.wire.JobId
-import oxbowlug.wire.JobView
-import oxbowlug.wire.ShownState
-import oxbowlug.wire.fields
-
-/** A job as the state service has it. [value] is kept only while the job isn't final. */
-class StoredJob(
-    val phase: Phase,
-    val version: Long,
-    val tasks: Int,
-    val done: Int,
-    val placed: Int,
-    val value: Map<String, Any?>?,
-) {
-    fun view(id: JobId): JobView = when (phase) {
-        Phase.DONE -> JobView(id, ShownState.DONE, tasks, 0)
-        Phase.CANCELLED -> JobView(id, ShownState.CANCELLED, done, 0)
-        Phase.ACTIVE -> JobView(id, if (placed > 0) ShownState.RUNNING else ShownState.QUEUED, done, placed)
-    }
-}
 
 interface ReplicaListener {
     /** The view and the members have been read whole; the jobs are asked for right after this. */
@@ -34,6 +15,11 @@
 
     /** [value] is the record as it is stored, also of a job whose record the copy doesn't keep. */
     fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>)
+
+    /** One of the jobs that it needs is done or cancelled, by whatever road that is known. */
+    fun onDependencyChanged(id: JobId)
+
+    fun onWritableFormat(format: WritableFormat)
 }
 
 /**
@@ -50,7 +36,12 @@
     private val isLeading: () -> Boolean = { true },
 ) {
     private val jobs = Object2ObjectOpenHashMap<String, StoredJob>()
+    private val parts = HashMap<String, HashMap<Int, Map<String, Any?>>>()
+    private val dependents = Dependents()
     private val members = HashSet<String>()
+
+    /** The newest layout that each controller's version is known to read, by label. */
+    private val formats = HashMap<String, Long>()
     private var waiting = ArrayList<(Boolean) -> Unit>()
     private var catchingUp = false
     private var reading = false
@@ -73,6 +64,10 @@
     var deputies: Deputies? = null
         private set
 
+    /** By the marker in the copy, which is never taken back. */
+    var writableFormat = WritableFormat.SINGLE_VALUE
+        private set
+
     /** Who led before, as far as known here. */
     var formerLeader: Member? = null
         private set
@@ -90,17 +85,19 @@
     var readUpToMs = Long.MIN_VALUE / 2
         private set
 
-    /** A record that another controller has seen in the state service; an older one changes nothing. */
-    fun hear(id: JobId, version: Long, value: Map<String, Any?>) {
-        try {
-            applyJob(Event(Keys.job(id.value), value, version))
-        } catch (e: InvalidField) {
-            log.error("the record of {} as a peer told it can't be read: {}", id, e.message)
-        }
-    }
+    /** A whole record that a controller has seen in the state service; an older one changes nothing. */
+    fun hear(id: JobId, version: Long, value: Map<String, Any?>) = takeRecord(id, version) { value }
 
     fun job(id: JobId): StoredJob? = jobs[id.value]
 
+    fun formatOf(label: String): Long? = formats[label]
+
+    fun dependencyState(predecessors: List<JobId>): DependencyState =
+        if (predecessors.isEmpty())
+            DependencyState.READY
+        else
+            DependencyState.of(predecessors) { jobs[it.value]?.phase }
+
     fun hasMember(key: String): Boolean = key in members
 
     fun memberCount(): Int = members.size
@@ -108,7 +105,9 @@
     fun members(): List<Member> = members.mapNotNull(Keys::memberOf)
 
     fun forEachActive(action: (JobId, StoredJob) -> Unit) {
-        for ((id, job) in jobs) if (!job.phase.isFinal || job.placed > 0) action(JobId(id), job)
+        for ((id, job) in jobs) {
+            if (!job.phase.isFinal || job.placed > 0 || job.isCancelledByPredecessor) action(JobId(id), job)
+        }
     }
 
     fun tick() {
@@ -164,7 +163,7 @@
             if (outcome.changes.revision > before) {
                 revision = outcome.changes.revision
                 // Watch and catch-up overlap: what the other one brought already is skipped by its revision.
-                for (event in outcome.changes.events) if (event.version > before) apply(event)
+                applyAll(outcome.changes.events.filter { it.version > before })
             }
             true
         }
@@ -227,16 +226,39 @@
         members.clear()
         val present = entries.mapTo(HashSet(entries.size * 2)) { it.key }
         jobs.keys.retainAll { Keys.job(it) in present }
-        for (entry in entries) apply(Event(entry.key, entry.value, entry.version))
+        parts.clear()
+        val events = entries.map { Event(it.key, it.value, it.version) }
+        val (partEvents, others) = events.partition { it.key.startsWith(Keys.PARTS) }
+        partEvents.forEach(::apply)
+        others.forEach(::apply)
         log.info("copied {} entries at revision {}", entries.size, from)
     }
 
+    /** A head is read with its parts, which its transaction may have written too: so these come first. */
+    private fun applyAll(events: List<Event>) {
+        var from = 0
+        while (from < events.size) {
+            val revision = events[from].version
+            var to = from
+            while (to < events.size && events[to].version == revision) to++
+            val transaction = events.subList(from, to)
+            for (event in transaction) if (event.key.startsWith(Keys.PARTS)) apply(event)
+            for (event in transaction) if (!event.key.startsWith(Keys.PARTS)) apply(event)
+            from = to
+        }
+    }
+
     private fun apply(event: Event) {
         try {
             when {
                 event.key == Keys.VIEW -> applyView(event)
                 event.key == Keys.DEPUTIES -> event.value?.let { deputies = Deputies.decode(it, event.version) }
+                event.key == Keys.FORMAT -> applyMarker(event)
                 event.key.startsWith(Keys.JOBS) -> applyJob(event)
+                event.key.startsWith(Keys.PARTS) -> applyPart(event)
+                event.key.startsWith(Keys.FORMATS) -> event.value?.let {
+                    formats[event.key.substring(Keys.FORMATS.length)] = DataFormat.decode(it)
+                }
                 event.key.startsWith(Keys.MEMBERS) -> {
                     if (event.value == null) members.remove(event.key) else members.add(event.key)
                 }
@@ -261,33 +283,89 @@
         }
     }
 
+    private fun applyMarker(event: Event) {
+        if (event.value == null && writableFormat == WritableFormat.HEAD_AND_PARTS) {
+            log.error("the format marker is gone; it stays in force here")
+            return
+        }
+        val next = WritableFormat.ofMarker(event.value)
+        if (next == writableFormat) return
+        if (next == WritableFormat.NONE) log.error("the format marker is of no version known here: nothing is written")
+        writableFormat = next
+        listener.onWritableFormat(next)
+    }
+
+    private fun applyPart(event: Event) {
+        val name = event.key.substring(Keys.PARTS.length)
+        val slash = name.lastIndexOf('/')
+        val index = name.substring(slash + 1).toIntOrNull()
+        if (slash <= 0 || index == null) throw InvalidField("part", "has no number")
+        val id = name.substring(0, slash)
+        val value = event.value
+        if (value != null) {
+            parts.getOrPut(id, ::HashMap)[index] = value
+        } else {
+            parts[id]?.remove(index)
+            if (parts[id]?.isEmpty() == true) parts.remove(id)
+        }
+    }
+
     private fun applyJob(event: Event) {
-        val value = event.value ?: return
+        val head = event.value ?: return
         val id = event.key.substring(Keys.JOBS.length)
-        val present = jobs[id]
-        if (present != null && present.version >= event.version) return
-        val stored = StoredJobs.read(value, event.version)
-        jobs[id] = stored
-        listener.onJob(JobId(id), stored, value)
+        takeRecord(JobId(id), event.version) { RecordLayout.merge(head) { index -> parts[id]?.get(index) } }
     }
 
-    private companion object {
-        val log = LoggerFactory.getLogger("replica")
+    private fun takeRecord(id: JobId, version: Long, whole: () -> Map<String, Any?>) {
+        val present = jobs[id.value]
+        if (present != null && present.version >= version) return
+        try {
+            val value = whole()
+            val stored = StoredJob.read(value, version)
+            put(id, present, stored)
+            listener.onJob(id, stored, value)
+            followDependencies(id, stored)
+        } catch (e: InvalidField) {
+            // It must not look like a job that isn't there, nor like one that is done.
+            log.error("the record of {} at revision {} can't be read: {}", id, version, e.message)
+            if (present?.phase?.isFinal != true) jobs[id.value] = StoredJob.unreadable(version)
+        }
     }
-}
 
-private object StoredJobs {
-    /** Counts tasks without unfolding ranges into objects. */
-    fun read(value: Map<String, Any?>, version: Long): StoredJob {
-        val fields = value.fields()
-        val phase = JobRecord.phaseOf(fields)
-        val done = Ranges.decode(fields.textOrNull("done", Int.MAX_VALUE).orEmpty()).cardinality()
-        val run = if (fields.has("run")) fields.map("run") else emptyMap()
-        val placed = run.values.sumOf { text ->
-            (text as String).split(';').sumOf { Ranges.decode(it.substring(it.indexOf(':') + 1)).cardinality() }
+    private fun put(id: JobId, present: StoredJob?, stored: StoredJob) {
+        jobs[id.value] = stored
+        if (present != null && present.waitsOn != stored.waitsOn) dependents.remove(id, present.waitsOn)
+        if (stored.waitsOn.isNotEmpty()) dependents.add(id, stored.waitsOn)
+    }
+
+    private fun followDependencies(id: JobId, stored: StoredJob) {
+        val isCalledOff = !stored.phase.isFinal && dependencyState(stored.waitsOn) == DependencyState.CANCELLED
+        if (isCalledOff) cancelByPredecessor(id)
+        if (stored.phase == Phase.CANCELLED || isCalledOff) cancelDependents(id)
+        if (stored.phase == Phase.DONE) for (dependent in dependents.of(id)) listener.onDependencyChanged(dependent)
+    }
+
+    /** Everything that needs a cancelled job, directly or through others; chains are long, so it doesn't recurse. */
+    private fun cancelDependents(first: JobId) {
+        val toVisit = ArrayDeque<JobId>()
+        toVisit.add(first)
+        while (toVisit.isNotEmpty()) {
+            for (dependent in dependents.of(toVisit.removeFirst())) {
+                if (cancelByPredecessor(dependent)) toVisit.add(dependent)
+            }
         }
-        val tasks = fields.map("spec").fields().count("furrows").toInt()
-        val keep = !phase.isFinal || placed > 0
-        return StoredJob(phase, version, tasks, done, placed, if (keep) value else null)
+    }
+
+    /** False if it was known. */
+    private fun cancelByPredecessor(id: JobId): Boolean {
+        val present = jobs[id.value] ?: return false
+        if (present.phase.isFinal) return false
+        jobs[id.value] = present.cancelledByPredecessor()
+        listener.onDependencyChanged(id)
+        return true
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("replica")
     }
 }
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/StoredJob.kt
@@ -0,0 +1,69 @@
+package oxbowlug.core
+
+import oxbowlug.wire.InvalidField
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.JobSpecCodec
+import oxbowlug.wire.JobView
+import oxbowlug.wire.ShownState
+import oxbowlug.wire.fields
+
+/** A job as the state service has it. [value] is kept only while the job isn't final. */
+class StoredJob(
+    val phase: Phase,
+    val version: Long,
+    val tasks: Int,
+    val done: Int,
+    val placed: Int,
+    val value: Map<String, Any?>?,
+    val kind: JobKind = JobKind.ARRAY,
+    /** Kept only while the job isn't final. */
+    val waitsOn: List<JobId> = emptyList(),
+    /** Cancelled because a predecessor is, while its own record doesn't say so yet. */
+    val isCancelledByPredecessor: Boolean = false,
+    /** Its record can't be read: it is known, and nothing else is said of it. */
+    val isUnreadable: Boolean = false,
+) {
+    fun view(id: JobId): JobView = when (phase) {
+        Phase.DONE -> JobView(id, ShownState.DONE, tasks, 0)
+        Phase.CANCELLED -> JobView(id, ShownState.CANCELLED, done, 0)
+        Phase.ACTIVE -> JobView(id, if (placed > 0) ShownState.RUNNING else ShownState.QUEUED, done, placed)
+    }
+
+    fun cancelledByPredecessor() = StoredJob(
+        Phase.CANCELLED, version, tasks, done, placed, value, kind, waitsOn, isCancelledByPredecessor = true,
+    )
+
+    companion object {
+        fun unreadable(version: Long) = StoredJob(Phase.ACTIVE, version, 0, 0, 0, null, isUnreadable = true)
+
+        /** Counts tasks without unfolding ranges into objects. Throws [InvalidField] if the record can't be read. */
+        fun read(value: Map<String, Any?>, version: Long): StoredJob = try {
+            readFields(value, version)
+        } catch (e: RuntimeException) {
+            throw InvalidField("record", e.toString())
+        }
+
+        private fun readFields(value: Map<String, Any?>, version: Long): StoredJob {
+            val fields = value.fields()
+            val phase = JobRecord.phaseOf(fields)
+            val done = Ranges.decode(fields.textOrNull("done", Int.MAX_VALUE).orEmpty()).cardinality()
+            val run = if (fields.has("run")) fields.map("run") else emptyMap()
+            val placed = run.values.sumOf { text ->
+                (text as String).split(';').sumOf { Ranges.decode(it.substring(it.indexOf(':') + 1)).cardinality() }
+            }
+            val spec = fields.map("spec").fields()
+            val keep = !phase.isFinal || placed > 0
+            return StoredJob(
+                phase = phase,
+                version = version,
+                tasks = spec.count("furrows").toInt(),
+                done = done,
+                placed = placed,
+                value = if (keep) value else null,
+                kind = JobSpecCodec.kindOf(spec),
+                waitsOn = if (phase.isFinal) emptyList() else JobSpecCodec.predecessorsOf(spec),
+            )
+        }
+    }
+}
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -119,6 +119,9 @@
 
     /** Plans are at least this far apart, so that a burst of events is planned for together. */
     val planGapMs: Long = reportMs.toLong() / 20
+
+    /** Between two stages of a pipeline: a last exit is reported, committed and planned for, and a start committed. */
+    val pipelineStageMs: Long = reportMs.toLong() * 2
     val replanSoonMs: Long = reportMs.toLong() * 2
 
     /** The protocol counts a start that was not stopped by command within 30 s; a lease more is on the safe side. */
--- a/src/main/kotlin/oxbowlug/plan/Preemption.kt
+++ b/src/main/kotlin/oxbowlug/plan/Preemption.kt
@@ -49,7 +49,7 @@
     /** Told without listing the machine's tenants: for a whole fleet that would be most of a plan's time. */
     fun mayHoldVictims(job: PlanJob, guaranteed: Boolean, machine: PlanMachine): Boolean {
         val least = machine.leastUrgent ?: return false
-        return guaranteed || least > job.spec.priority
+        return guaranteed || least > job.priority
     }
 
     /**
@@ -57,9 +57,9 @@
      * other in turn for ever, one by its priority and the other by its guarantee.
      */
     fun mayStop(job: PlanJob, guaranteed: Boolean, tenant: Tenant, teams: Map<TeamName, PlanTeam>): Boolean {
-        if (tenant.priority <= job.spec.priority && !guaranteed) return false
+        if (tenant.priority <= job.priority && !guaranteed) return false
         val borrows = teams[tenant.team]?.borrows(tenant.need) ?: true
-        if (tenant.priority > job.spec.priority) return guaranteed || borrows || tenant.team == job.spec.team
+        if (tenant.priority > job.priority) return guaranteed || borrows || tenant.team == job.spec.team
         return guaranteed && borrows && tenant.team != job.spec.team
     }
 
--- a/src/main/kotlin/oxbowlug/plan/Ranking.kt
+++ b/src/main/kotlin/oxbowlug/plan/Ranking.kt
@@ -4,7 +4,7 @@
     /** By priority, then by the penalty of postponing, then the longest waiting; by id, so that a plan repeats. */
     fun order(jobs: List<PlanJob>, horizonS: Double, postponeFactor: Double): List<PlanJob> =
         jobs.sortedWith(
-            compareBy<PlanJob> { it.spec.priority.ordinal }
+            compareBy<PlanJob> { it.priority.ordinal }
                 .thenByDescending { postponement(it, horizonS, postponeFactor) }
                 .thenByDescending { it.waitedS }
                 .thenBy { it.id.value },
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -61,8 +61,9 @@
     val weight: Double,
     /** On its way out: its room comes free by itself. */
     val stopping: Boolean,
+    /** Its job's own, or the more urgent one of a job that needs it. */
+    val priority: Priority = spec.priority,
 ) {
-    val priority: Priority get() = spec.priority
     val team: TeamName get() = spec.team
     val need: Amounts = spec.amounts()
 
@@ -172,6 +173,8 @@
     val isMoving: Boolean = false,
     /** Stands for tasks that are expected, not there yet: holds room, starts nothing and stops nothing. */
     val isReserve: Boolean = false,
+    /** Its own, or the more urgent one of a job that needs it. */
+    val priority: Priority = spec.priority,
 )
 
 class PlanTeam(val maxCores: Double, val maxGpus: Double, val guaranteedCores: Double, val guaranteedGpus: Double) {
--- a/src/main/kotlin/oxbowlug/state/StateClient.kt
+++ b/src/main/kotlin/oxbowlug/state/StateClient.kt
@@ -37,7 +37,7 @@
         return when (result.status) {
             200 -> body?.let { CommitOutcome.Applied(StoreCodec.decodeRevision(it)) } ?: CommitOutcome.Unanswered
             409 -> CommitOutcome.Conflict(body?.let(StoreCodec::decodeFailed).orEmpty())
-            400 -> CommitOutcome.Invalid
+            400 -> if (StoreCodec.isLeaseOver(body)) CommitOutcome.LeaseOver else CommitOutcome.Invalid
             429, 503 -> CommitOutcome.Refused
             else -> CommitOutcome.Unanswered
         }
--- a/src/main/kotlin/oxbowlug/wire/JobSpec.kt
+++ b/src/main/kotlin/oxbowlug/wire/JobSpec.kt
@@ -41,6 +41,8 @@
     val checkpointS: Double,
     val saveS: Double,
     val deadlineS: Double?,
+    /** Jobs that have to be done before any task of this one starts; each named once. */
+    val waitsOn: List<JobId> = emptyList(),
 ) {
     /** Under [spread], the most tasks that one zone may hold: half of them, rounded up. */
     val zoneCap: Int get() = if (spread) (tasks + 1) / 2 else tasks
@@ -50,6 +52,11 @@
 
 object JobSpecCodec {
     const val MAX_TASKS = 100_000L
+    const val WAITS_ON = "waits_on"
+    const val TYPES = "breeds"
+
+    /** More than any pipeline is known to have; a specification's size in the state service is a bound as well. */
+    const val MAX_PREDECESSORS = 128
     private const val MAX_TYPES = 16
     private const val MAX_NAME = 80
     private const val MAX_SECONDS = 1e9
@@ -62,7 +69,7 @@
             id = JobId(id),
             className = ClassName(fields.text("harness", MAX_NAME)),
             team = TeamName(fields.text("yoke", MAX_NAME)),
-            kind = choice(fields.text("gait"), "gait", JobKind.entries) { it.wire },
+            kind = kindOf(fields),
             priority = choice(fields.text("urgency"), "urgency", Priority.entries) { it.wire },
             tasks = fields.count("furrows", 1, MAX_TASKS).toInt(),
             cores = fields.amount("cores"),
@@ -70,7 +77,7 @@
             memoryGb = fields.amount("mem_gb"),
             image = ImageName(fields.text("seedbag", MAX_NAME)),
             imageGb = fields.amount("pull_gb"),
-            types = if (fields.has("breeds")) types(fields.texts("breeds", MAX_TYPES)) else null,
+            types = if (fields.has(TYPES)) types(fields.texts(TYPES, MAX_TYPES)) else null,
             zone = fields.textOrNull("paddock", MAX_NAME)?.let(::Zone),
             oneZone = fields.flag("same_place"),
             spread = fields.flag("scatter"),
@@ -79,6 +86,7 @@
             checkpointS = fields.amount("rest_s", MAX_SECONDS),
             saveS = fields.amount("stow_s", MAX_SECONDS),
             deadlineS = fields.amountOrNull("dusk_s"),
+            waitsOn = predecessorsOf(fields),
         )
     }
 
@@ -95,7 +103,7 @@
         map["mem_gb"] = spec.memoryGb
         map["seedbag"] = spec.image.value
         map["pull_gb"] = spec.imageGb
-        spec.types?.let { types -> map["breeds"] = types.map { it.value } }
+        spec.types?.let { types -> map[TYPES] = types.map { it.value } }
         spec.zone?.let { map["paddock"] = it.value }
         map["same_place"] = spec.oneZone
         map["scatter"] = spec.spread
@@ -104,11 +112,21 @@
         map["rest_s"] = spec.checkpointS
         map["stow_s"] = spec.saveS
         spec.deadlineS?.let { map["dusk_s"] = it }
+        if (spec.waitsOn.isNotEmpty()) map[WAITS_ON] = spec.waitsOn.map { it.value }
         return map
     }
 
+    fun kindOf(fields: Fields): JobKind = choice(fields.text("gait"), "gait", JobKind.entries) { it.wire }
+
+    fun predecessorsOf(fields: Fields): List<JobId> {
+        if (!fields.has(WAITS_ON)) return emptyList()
+        val names = fields.texts(WAITS_ON, MAX_PREDECESSORS)
+        if (!names.all(JobId::isValid)) throw InvalidField(WAITS_ON, "holds something that isn't a job's id")
+        return names.distinct().map(::JobId)
+    }
+
     private fun types(names: List<String>): List<TypeName> {
-        if (names.any { it.isEmpty() || it.length > MAX_NAME }) throw InvalidField("breeds", "holds an invalid name")
+        if (names.any { it.isEmpty() || it.length > MAX_NAME }) throw InvalidField(TYPES, "holds an invalid name")
         return names.map(::TypeName)
     }
 
--- a/src/main/kotlin/oxbowlug/wire/Store.kt
+++ b/src/main/kotlin/oxbowlug/wire/Store.kt
@@ -65,5 +65,8 @@
 
     fun decodeFailed(map: Map<String, Any?>): List<String> = map.fields().texts("failed", MAX_PAGE)
 
+    /** Whether a transaction was refused for its lease, rather than for its size or form. */
+    fun isLeaseOver(body: Map<String, Any?>?): Boolean = body?.get("error") == "no such lease"
+
     fun decodeLease(map: Map<String, Any?>): Long = map.fields().count("tether")
 }
--- a/src/test/kotlin/oxbowlug/config/ConfigTest.kt
+++ b/src/test/kotlin/oxbowlug/config/ConfigTest.kt
@@ -25,6 +25,15 @@
         assertEquals(emptyList<Objective>(), SettingsFile.parse(text).objectives)
     }
 
+    @Test
+    fun `limits that the state service is going to have are taken with the present ones`() {
+        val coming = "[settings.state.next]\nwrite_rps = 15.0\nvalue_kb = 2.0\n[settings.cloud]"
+        val state = SettingsFile.parse(SettingsTexts.valid.replace("[settings.cloud]", coming)).state
+        assertEquals(WriteLimits(15.0, 2.0, state.txnOps), state.lowest)
+        val present = SettingsFile.parse(SettingsTexts.valid).state
+        assertEquals(present.present, present.lowest)
+    }
+
     @Test
     fun `a wrong setting is named with its whole path`() {
         val cases = mapOf(
@@ -41,6 +50,13 @@
             ("gpus_max = 16.0" to "gpus_max = -1.0") to "settings.teams[0].gpus_max",
             ("zones = [\"a\", \"b\"]" to "zones = [1]") to "settings.zones",
             ("[outside]" to "[inside]") to "outside",
+            ("[settings.cloud]" to "[settings.state.next]\nvalue_kb = 0\n[settings.cloud]") to
+                "settings.state.next.value_kb",
+            ("[settings.cloud]" to "[settings.state.next]\ntxn_ops = \"few\"\n[settings.cloud]") to
+                "settings.state.next.txn_ops",
+            ("[settings.cloud]" to "[settings.state.next]\nwrite_rps = -1.0\n[settings.cloud]") to
+                "settings.state.next.write_rps",
+            ("write_rps = 20.0" to "write_rps = 20.0\nnext = 7") to "settings.state.next",
             ("[outside]" to "[outside") to "not valid TOML",
         )
         for ((change, field) in cases) {
--- a/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
+++ b/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
@@ -68,6 +68,10 @@
             override fun onView(view: View) = Unit
 
             override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
+
+            override fun onDependencyChanged(id: JobId) = Unit
+
+            override fun onWritableFormat(format: WritableFormat) = Unit
         }
 
         init {
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/core/DependenciesTest.kt
@@ -0,0 +1,208 @@
+package oxbowlug.core
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import oxbowlug.config.SettingsFile
+import oxbowlug.sim.DriftingClock
+import oxbowlug.sim.World
+import oxbowlug.wire.Cbor
+import oxbowlug.wire.Changes
+import oxbowlug.wire.Event
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobSpecCodec
+import oxbowlug.wire.JobSpecCodecTest
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.ReadPage
+import oxbowlug.wire.ShownState
+import oxbowlug.wire.Transaction
+import java.util.BitSet
+import kotlin.random.Random
+
+/** What a controller's copy makes of jobs that wait for others, and of records that it can't read. */
+class DependenciesTest {
+    private val world = World(1)
+    private val clock = DriftingClock(world, 0.0, 0)
+    private val spec = JobSpecCodec.decode(JobSpecCodecTest.valid())
+    private var revision = 0L
+    private val pending = ArrayList<Event>()
+    private val changed = ArrayList<String>()
+
+    private inner class Port : StatePort {
+        override fun commit(transaction: Transaction, done: (CommitOutcome) -> Unit) = Unit
+
+        override fun readPage(prefix: String, after: String?, done: (ReadPage?) -> Unit) =
+            done(ReadPage(emptyList(), false, revision))
+
+        override fun changes(prefix: String, from: Long, waitMs: Long, done: (ChangesOutcome) -> Unit) {
+            if (waitMs > 0) return
+            val events = pending.toList()
+            pending.clear()
+            done(ChangesOutcome.Read(Changes(events, revision)))
+        }
+
+        override fun grant(lifeMs: Long, done: (Long?) -> Unit) = Unit
+
+        override fun touch(lease: Long, done: (TouchOutcome) -> Unit) = Unit
+
+        override fun release(lease: Long) = Unit
+    }
+
+    private inner class Listener : ReplicaListener {
+        override fun onRoster() = Unit
+
+        override fun onView(view: View) = Unit
+
+        override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
+
+        override fun onDependencyChanged(id: JobId) {
+            changed.add(id.value)
+        }
+
+        override fun onWritableFormat(format: WritableFormat) = Unit
+    }
+
+    private val timing = Timing(SettingsFile.parse(SettingsTexts.valid), Random(1))
+    private val replica = Replica(Port(), clock, timing, Listener()).apply { tick() }
+
+    private fun asStored(value: Map<String, Any?>) = Cbor.decode(Cbor.encode(value))
+
+    private fun value(id: String, phase: Phase, waitsOn: List<String>): Map<String, Any?> {
+        val done = BitSet().apply { if (phase == Phase.DONE) set(0, spec.tasks) }
+        val named = spec.copy(id = JobId(id), waitsOn = waitsOn.map(::JobId))
+        return asStored(JobRecord(named, 5, phase, done, 2, emptyMap(), "w-$revision").encode())
+    }
+
+    private fun write(id: String, phase: Phase = Phase.ACTIVE, vararg waitsOn: String) {
+        revision++
+        pending.add(Event(Keys.job(id), value(id, phase, waitsOn.toList()), revision))
+    }
+
+    /** Reads are paced, so time has to pass. */
+    private fun catchUp() {
+        replica.catchUp {}
+        world.after(1_000) {}
+        world.runUntil(world.nowMs + 1_000)
+        replica.tick()
+    }
+
+    private fun shown(vararg ids: String): List<ShownState?> =
+        ids.map { id -> replica.job(JobId(id))?.view(JobId(id))?.state }
+
+    private fun state(id: String) = replica.dependencyState(replica.job(JobId(id))?.waitsOn.orEmpty())
+
+    @Test
+    fun `a job is ready once all that it needs are done`() {
+        write("a")
+        write("b")
+        write("c", Phase.ACTIVE, "a", "b")
+        catchUp()
+        assertEquals(DependencyState.WAITING, state("c"))
+        write("a", Phase.DONE)
+        catchUp()
+        assertEquals(DependencyState.WAITING, state("c"))
+        write("b", Phase.DONE)
+        catchUp()
+        assertEquals(DependencyState.READY, state("c"))
+        assertEquals(listOf("c", "c"), changed)
+    }
+
+    @Test
+    fun `a cancellation ends what needs the job, through chains, fans and diamonds, and nothing else`() {
+        write("a")
+        write("b", Phase.ACTIVE, "a")
+        write("c", Phase.ACTIVE, "a")
+        write("d", Phase.ACTIVE, "b", "c")
+        write("other")
+        write("e", Phase.ACTIVE, "other")
+        catchUp()
+        write("a", Phase.CANCELLED)
+        // Submitted after it, and accepted all the same.
+        write("f", Phase.ACTIVE, "d")
+        catchUp()
+        assertEquals(List(5) { ShownState.CANCELLED }, shown("a", "b", "c", "d", "f"))
+        assertEquals(List(2) { ShownState.QUEUED }, shown("other", "e"))
+        val open = ArrayList<String>()
+        replica.forEachActive { id, _ -> open.add(id.value) }
+        assertTrue(open.containsAll(listOf("b", "c", "d", "f")), "their records still have to say so")
+    }
+
+    @Test
+    fun `what a finished job ended before its cancellation goes on`() {
+        write("a", Phase.DONE)
+        write("b", Phase.ACTIVE, "a")
+        catchUp()
+        assertEquals(listOf(ShownState.QUEUED), shown("b"))
+        assertEquals(DependencyState.READY, state("b"))
+    }
+
+    @Test
+    fun `a cancellation told by a peer ends what needs the job as well`() {
+        write("a")
+        write("b", Phase.ACTIVE, "a")
+        catchUp()
+        replica.hear(JobId("a"), revision + 1, value("a", Phase.CANCELLED, emptyList()))
+        assertEquals(listOf(ShownState.CANCELLED), shown("b"))
+    }
+
+    @Test
+    fun `chains and fans of thousands are followed without recursion, and in any order of reading`() {
+        val length = 20_000
+        write("chain-0")
+        for (index in 1..length) write("chain-$index", Phase.ACTIVE, "chain-${index - 1}")
+        for (index in 1..length) write("fan-$index", Phase.ACTIVE, "chain-0")
+        pending.shuffle(java.util.Random(1))
+        catchUp()
+        write("chain-0", Phase.CANCELLED)
+        catchUp()
+        assertEquals(2 * length, changed.size)
+        assertEquals(listOf(ShownState.CANCELLED, ShownState.CANCELLED), shown("chain-$length", "fan-$length"))
+    }
+
+    @Test
+    fun `a record that can't be read is neither absent, nor done, nor empty`() {
+        write("a")
+        catchUp()
+        revision++
+        // Its parts are missing.
+        pending.add(Event(Keys.job("a"), value("a", Phase.ACTIVE, emptyList()) + (RecordLayout.PARTS to 2L), revision))
+        pending.add(Event(Keys.job("b"), mapOf("phase" to "unheard of"), revision))
+        pending.add(Event(Keys.job("c"), value("c", Phase.ACTIVE, emptyList()) + ("run" to mapOf("host-1" to 3L)), revision))
+        catchUp()
+        for (id in listOf("a", "b", "c")) assertEquals(true, replica.job(JobId(id))?.isUnreadable, id)
+        write("d", Phase.ACTIVE, "b")
+        catchUp()
+        assertEquals(DependencyState.WAITING, state("d"))
+    }
+
+    @Test
+    fun `parts written in a head's transaction are read with it, in whatever order they come`() {
+        val record = JobRecord(
+            spec.copy(id = JobId("a"), tasks = 240), 5, Phase.ACTIVE, BitSet(), 2,
+            (0 until 240).associateWith { Placement(MachineId("host-%06d".format(it)), 1) }, "w",
+        )
+        val limits = oxbowlug.config.WriteLimits(15.0, 2.0, 4)
+        val form = RecordLayout(limits).split(record.encode()) ?: error("doesn't fit")
+        revision++
+        pending.add(Event(Keys.job("a"), asStored(form.head), revision))
+        for ((index, part) in form.parts.withIndex()) pending.add(Event(Keys.part("a", index), part, revision))
+        // Later in the same answer the parts are gone again.
+        revision++
+        for (index in form.parts.indices) pending.add(Event(Keys.part("a", index), null, revision))
+        catchUp()
+        assertEquals(240, replica.job(JobId("a"))?.placed)
+    }
+
+    @Test
+    fun `the format marker decides what may be written, and an unknown one stops that`() {
+        val cases = listOf(
+            null to WritableFormat.SINGLE_VALUE,
+            DataFormat.encode(1) to WritableFormat.SINGLE_VALUE,
+            DataFormat.encode(2) to WritableFormat.HEAD_AND_PARTS,
+            DataFormat.encode(3) to WritableFormat.NONE,
+            mapOf("format" to "two") to WritableFormat.NONE,
+            emptyMap<String, Any?>() to WritableFormat.NONE,
+        )
+        for ((marker, expected) in cases) assertEquals(expected, WritableFormat.ofMarker(marker), "$marker")
+    }
+}
--- a/src/test/kotlin/oxbowlug/core/DeputyTest.kt
+++ b/src/test/kotlin/oxbowlug/core/DeputyTest.kt
@@ -42,6 +42,10 @@
         override fun onView(view: View) = Unit
 
         override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
+
+        override fun onDependencyChanged(id: JobId) = Unit
+
+        override fun onWritableFormat(format: WritableFormat) = Unit
     }
 
     /** Answers at once, or not at all. */
--- a/src/test/kotlin/oxbowlug/core/DeskTest.kt
+++ b/src/test/kotlin/oxbowlug/core/DeskTest.kt
@@ -3,11 +3,14 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import oxbowlug.config.SettingsFile
+import oxbowlug.config.WriteLimits
 import oxbowlug.sim.DriftingClock
 import oxbowlug.sim.SimStore
 import oxbowlug.sim.World
 import oxbowlug.wire.Change
 import oxbowlug.wire.JobId
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.JobSpec
 import oxbowlug.wire.JobSpecCodec
 import oxbowlug.wire.JobSpecCodecTest
 import oxbowlug.wire.JobView
@@ -68,6 +71,10 @@
         override fun onView(view: View) = Unit
 
         override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
+
+        override fun onDependencyChanged(id: JobId) = Unit
+
+        override fun onWritableFormat(format: WritableFormat) = Unit
     }
 
     private object NoMeters : Meters {
@@ -140,6 +147,139 @@
         }
     }
 
+    private fun accept(id: String, kind: JobKind = JobKind.ARRAY, phase: Phase = Phase.ACTIVE) {
+        val record = JobRecord(
+            spec.copy(id = JobId(id), kind = kind), 5, phase, BitSet(), 1, emptyMap(), "w-$id",
+        )
+        store.commit(Transaction(emptyList(), listOf(Change.Put(Keys.job(id), record.encode()))))
+    }
+
+    private fun switchFormatOn() {
+        store.commit(Transaction(emptyList(), listOf(Change.Put(Keys.FORMAT, DataFormat.encode(DataFormat.NEWEST)))))
+    }
+
+    private fun answerTo(copy: Replica, spec: JobSpec): UserAnswer {
+        val answers = ArrayList<UserAnswer>()
+        desk(copy).submit(spec, types) { answers.add(it) }
+        world.runUntil(world.nowMs + 1_000)
+        repeat(5) { copy.tick() }
+        return answers.single()
+    }
+
+    @Test
+    fun `jobs to wait for have to be known for sure, and known by another controller is known`() {
+        class Case(val name: String, val waitsOn: String, val expected: String, val meanwhile: () -> Unit = {})
+        val cases = listOf(
+            Case("accepted", "run-a", "Accepted"),
+            Case("done", "run-done", "Accepted"),
+            Case("cancelled", "run-gone", "Accepted"),
+            Case("accepted by another controller a moment ago", "run-new", "Accepted") { accept("run-new") },
+            Case("never submitted", "run-never", "Rejected"),
+            Case("a service", "run-service", "Rejected"),
+            Case("the job itself", spec.id.value, "Rejected"),
+            Case("a record that can't be read", "run-torn", "Unavailable"),
+        )
+        for (case in cases) {
+            switchFormatOn()
+            accept("run-a")
+            accept("run-done", phase = Phase.DONE)
+            accept("run-gone", phase = Phase.CANCELLED)
+            accept("run-service", kind = JobKind.SERVICE)
+            val torn = mapOf<String, Any?>("phase" to "unheard of")
+            store.commit(Transaction(emptyList(), listOf(Change.Put(Keys.job("run-torn"), torn))))
+            store.commit(Transaction(emptyList(), listOf(Change.Delete(key))))
+            val copy = Replica(Port(), clock, timing, Ignored).apply { tick() }
+            case.meanwhile()
+            val answer = answerTo(copy, spec.copy(waitsOn = listOf(JobId(case.waitsOn))))
+            assertEquals(case.expected, answer::class.simpleName, case.name)
+        }
+    }
+
+    @Test
+    fun `while a controller may be of the version before, jobs that wait for others are sent away for a while`() {
+        accept("run-a")
+        val copy = Replica(Port(), clock, timing, Ignored).apply { tick() }
+        val answer = answerTo(copy, spec.copy(waitsOn = listOf(JobId("run-a"))))
+        assertEquals(true, answer is UserAnswer.Unavailable && answer.retryAfterS > 0)
+        assertEquals(true, answerTo(copy, spec) is UserAnswer.Accepted, "others are taken")
+    }
+
+    @Test
+    fun `nothing is written under a newer version's marker`() {
+        store.commit(Transaction(emptyList(), listOf(Change.Put(Keys.FORMAT, DataFormat.encode(99)))))
+        accept("run-a")
+        val copy = Replica(Port(), clock, timing, Ignored).apply { tick() }
+        val before = store.revision
+        assertEquals(true, answerTo(copy, spec) is UserAnswer.Unavailable)
+        desk(copy).cancel(JobId("run-a")) { assertEquals(true, it is UserAnswer.Unavailable) }
+        assertEquals(before, store.revision)
+    }
+
+    @Test
+    fun `a repeated submission gets the job's present state, whatever its list says`() {
+        accept("run-a")
+        val copy = Replica(Port(), clock, timing, Ignored).apply { tick() }
+        val never = spec.copy(id = JobId("run-a"), waitsOn = listOf(JobId("run-never")))
+        assertEquals(true, answerTo(copy, never) is UserAnswer.Known)
+        for ((id, expected) in listOf("run-a" to "Known", "run-b" to "Malformed")) {
+            val answers = ArrayList<UserAnswer>()
+            desk(copy).submitMalformed(JobId(id), "waits_on: must be a list") { answers.add(it) }
+            world.runUntil(world.nowMs + 1_000)
+            repeat(5) { copy.tick() }
+            assertEquals(listOf(expected), answers.map { it::class.simpleName }, id)
+        }
+    }
+
+    @Test
+    fun `a job whose record is larger than can be stored is refused by its field, and nothing is stored`() {
+        switchFormatOn()
+        val names = List(120) { "a".repeat(90) + it }
+        names.forEach { accept(it) }
+        val small = settings.state.copy(next = WriteLimits(15.0, 2.0, 4))
+        val copy = Replica(Port(), clock, timing, Ignored).apply { tick() }
+        val desk = Desk(
+            Names(Member("n0", "x")), settings.copy(state = small), Port(), clock, timing, copy, RateBudget(10.0),
+            NoMeters, { _, _, _ -> }, {},
+        )
+        val before = store.revision
+        val answers = ArrayList<UserAnswer>()
+        desk.submit(spec.copy(waitsOn = names.map(::JobId)), types) { answers.add(it) }
+        assertEquals(UserAnswer.Malformed("waits_on: is larger than can be stored"), answers.single())
+        assertEquals(before, store.revision)
+    }
+
+    @Test
+    fun `a large job is cancelled by its head alone, and one of the version before is divided for it`() {
+        val placements = (0 until 240).associateWith { Placement(MachineId("host-%06d".format(it)), 1) }
+        val record = JobRecord(spec.copy(tasks = 240), 5, Phase.ACTIVE, BitSet(), 2, placements, "w-1").encode()
+        val limits = WriteLimits(15.0, 2.0, 4)
+        val form = RecordLayout(limits).split(record) ?: error("doesn't fit")
+        val divided = listOf(Change.Put(key, form.head)) +
+            form.parts.mapIndexed { index, part -> Change.Put(Keys.part(spec.id.value, index), part) }
+        for (changes in listOf(divided, listOf(Change.Put(key, record)))) {
+            store.limits = null
+            switchFormatOn()
+            store.commit(Transaction(emptyList(), changes))
+            val copy = Replica(Port(), clock, timing, Ignored).apply { tick() }
+            store.limits = limits
+            world.runUntil(world.nowMs + 2_000)
+            told.clear()
+            val desk = Desk(
+                Names(Member("n0", "x")), settings.copy(state = settings.state.copy(next = limits)), Port(), clock,
+                timing, copy, RateBudget(10.0), NoMeters,
+                { id, _, value -> told.add("confirmed $id of ${machines(value)} machines") }, {},
+            )
+            val answers = ArrayList<UserAnswer>()
+            desk.cancel(spec.id) { answers.add(it) }
+            world.runUntil(world.nowMs + 1_000)
+            assertEquals(ShownState.CANCELLED, (answers.single() as UserAnswer.Known).view.state)
+            assertEquals(listOf("confirmed ${spec.id} of 240 machines"), told)
+            val read = Replica(Port(), clock, timing, Ignored).apply { tick() }.job(spec.id)
+            assertEquals(240, read?.placed, "whoever reads it knows every machine")
+            store.limits = null
+        }
+    }
+
     @Test
     fun `a slow answer to an accepted job doesn't speak over its cancellation`() {
         replica.tick()
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/core/InheritedUrgencyTest.kt
@@ -0,0 +1,71 @@
+package oxbowlug.core
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobSpecCodec
+import oxbowlug.wire.JobSpecCodecTest
+import oxbowlug.wire.Priority
+import java.util.BitSet
+
+/** Urgency that users set on a pipeline's last job only, as the jobs before it have it. */
+class InheritedUrgencyTest {
+    private val spec = JobSpecCodec.decode(JobSpecCodecTest.valid())
+        .copy(priority = Priority.LOW, deadlineS = null, estimateS = 10.0, imageGb = 0.0)
+
+    private fun job(id: String, vararg waitsOn: String, priority: Priority = Priority.LOW, deadlineS: Double? = null) =
+        Job(
+            JobRecord(
+                spec.copy(
+                    id = JobId(id),
+                    waitsOn = waitsOn.map(::JobId),
+                    priority = priority,
+                    deadlineS = deadlineS,
+                ),
+                0, Phase.ACTIVE, BitSet(), 1, emptyMap(), "w",
+            ),
+            1,
+        )
+
+    private fun update(vararg jobs: Job) =
+        InheritedUrgency.update(jobs.associateBy { it.id }, emptyList(), stageMs = 2_000)
+
+    @Test
+    fun `the last job's priority and deadline reach the first, less what lies between them`() {
+        val first = job("a")
+        val left = job("b", "a")
+        val right = job("c", "a", deadlineS = 40.0)
+        val last = job("d", "a", "b", "c", priority = Priority.HIGH, deadlineS = 100.0)
+        val other = job("other", priority = Priority.NORMAL, deadlineS = 7.0)
+        update(first, left, right, last, other)
+        assertEquals(List(4) { Priority.HIGH }, listOf(first, left, right, last).map { it.priority })
+        assertEquals(
+            listOf(100_000L, 40_000L, 88_000L, 28_000L),
+            listOf(last, right, left, first).map {
+                it.latestEndMs
+            }
+        )
+        assertEquals(Priority.NORMAL to 7_000L, other.priority to other.latestEndMs)
+    }
+
+    @Test
+    fun `what has ended or is under way passes nothing on any more`() {
+        val first = job("a")
+        val last = job("b", "a", priority = Priority.HIGH, deadlineS = 100.0)
+        update(first, last)
+        assertEquals(Priority.HIGH, first.priority)
+        last.cancelByPredecessor(0, 0)
+        update(first, last)
+        assertEquals(Priority.LOW to null, first.priority to first.latestEndMs)
+    }
+
+    @Test
+    fun `a chain of thousands is walked once`() {
+        val length = 20_000
+        val chain = List(length) { index ->
+            if (index == 0) job("0") else job("$index", "${index - 1}", deadlineS = if (index == length - 1) 1e6 else null)
+        }
+        update(*chain.toTypedArray())
+        assertEquals(1_000_000_000L - (length - 1) * 12_000L, chain.first().latestEndMs)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/PipelinesTest.kt
@@ -0,0 +1,187 @@
+package oxbowlug.sim
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import oxbowlug.config.WriteLimits
+import oxbowlug.core.Keys
+
+/** Pipelines of dependent jobs, rolling upgrades and falling limits of the state service, with troubles beside them. */
+class PipelinesTest {
+    class Case(
+        val name: String,
+        /** Controllers run the version before until they are restarted. */
+        val startsOld: Boolean = false,
+        val play: Simulation.() -> Unit,
+    ) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("cases")
+    fun `stages start in order, a cancellation ends what comes after it, and all else is served`(case: Case) {
+        for (seed in Seeds.all) {
+            val day = Simulation(seed, shape = Shape(nodes = 5, machinesUp = 8, nextLimits = NEXT))
+            if (case.startsOld) day.nodes.forEach { it.isOld = true }
+            day.users(everyMs = 4_000, untilMs = 90_000)
+            day.pipelines(everyMs = 5_000, untilMs = 90_000)
+            case.play(day)
+            day.run(280_000)
+            val what = "${case.name}, seed $seed"
+            assertEquals(emptyList<String>(), day.rules.broken.take(5), what)
+            assertEquals(emptyList<String>(), day.serving.broken.take(5), what)
+            assertEquals(emptyList<String>(), day.rules.unfinished(), "$what: not served")
+            assertTrue(day.store.entry(Keys.FORMAT) != null, "$what: the format isn't switched on")
+            assertEquals(0, day.store.refusedForSize, "$what: refused for their size")
+            val stages = day.rules.jobs.filterKeys { it.startsWith("pipe-") }.values
+            assertTrue(stages.count { it.started.isNotEmpty() } > 20, "$what: few stages started")
+        }
+    }
+
+    companion object {
+        /** Smaller than any array's record. */
+        private val NEXT = WriteLimits(writeRps = 30.0, valueKb = 1.0, txnOps = 4)
+
+        private fun Simulation.at(ms: Long, action: Simulation.() -> Unit) = world.after(ms) { action() }
+
+        private fun Simulation.limitsFall(atMs: Long) = at(atMs) { store.limits = NEXT }
+
+        private fun Simulation.end(node: SimNode, forMs: Long, isOld: Boolean = false) {
+            if (!node.isUp) return
+            node.crash()
+            world.after(forMs) {
+                node.isOld = isOld
+                node.start()
+            }
+        }
+
+        private fun Simulation.leaderEnds(atMs: Long, forMs: Long = 3_000) = at(atMs) { end(leader, forMs) }
+
+        /** In the order of [indexes], so many at a time. */
+        private fun Simulation.upgrade(fromMs: Long, everyMs: Long, indexes: List<Int>, atOnce: Int = 1) {
+            for ((turn, group) in indexes.chunked(atOnce).withIndex()) {
+                at(fromMs + turn * everyMs) { for (index in group) end(nodes[index], forMs = 3_000) }
+            }
+        }
+
+        /** The leader of the moment is taken first each time, or is left for last. */
+        private fun Simulation.upgradeByLeader(fromMs: Long, everyMs: Long, leaderFirst: Boolean) {
+            repeat(nodes.size) { turn ->
+                at(fromMs + turn * everyMs) {
+                    val old = nodes.filter { it.isOld && it.isUp }
+                    val lead = old.firstOrNull { it === leader }
+                    val next = if (leaderFirst) lead ?: old.firstOrNull() else old.firstOrNull { it !== lead } ?: lead
+                    if (next != null) end(next, forMs = 3_000)
+                }
+            }
+        }
+
+        private fun Simulation.spell(atMs: Long, forMs: Long, begin: Simulation.() -> Unit, end: Simulation.() -> Unit) {
+            at(atMs) { begin() }
+            at(atMs + forMs) { end() }
+        }
+
+        private fun Simulation.unansweredWrites(atMs: Long, forMs: Long) =
+            spell(atMs, forMs, { weather.unansweredWrites = 0.2 }, { weather.unansweredWrites = 0.0 })
+
+        private fun Simulation.lateWrites(atMs: Long, forMs: Long) =
+            spell(atMs, forMs, { weather.lateWrites = 0.2 }, { weather.lateWrites = 0.0 })
+
+        /** The job that a running or waiting stage needs is called off, and users ask about everything at once. */
+        private fun Simulation.cancelFirstStages(count: Int, atMs: Long) = at(atMs) {
+            val first = rules.jobs.values.filter {
+                it.spec.id.value.endsWith("-a") && it.accepted && it.told?.isOver != true
+            }
+            for (job in first.takeLast(count)) world.after(world.between(0, 200)) { cancel(job.spec.id.value) }
+        }
+
+        private val oxbowlug.wire.ShownState.isOver: Boolean
+            get() = this == oxbowlug.wire.ShownState.DONE || this == oxbowlug.wire.ShownState.CANCELLED
+
+        @JvmStatic
+        fun cases(): List<Case> = listOf(
+            Case("a quiet day") {},
+            Case("the limits fall") { limitsFall(40_000) },
+            Case("the leader ends again and again, and the limits fall") {
+                limitsFall(30_000)
+                for (ms in 25_000L..85_000L step 12_000) leaderEnds(ms)
+            },
+            Case("all controllers end, and the limits fall meanwhile") {
+                at(40_000) { nodes.forEach { end(it, forMs = 5_000) } }
+                limitsFall(42_000)
+                at(60_000) { nodes.forEach { end(it, forMs = 400) } }
+            },
+            Case("answers of transactions are lost while stages end and the leader does") {
+                closeLooks = 0.3
+                unansweredWrites(20_000, 70_000)
+                leaderEnds(40_000)
+                leaderEnds(60_000, forMs = 300)
+            },
+            Case("transactions are carried out late while first stages are called off") {
+                closeLooks = 0.2
+                lateWrites(20_000, 70_000)
+                for (ms in 25_000L..80_000L step 8_000) cancelFirstStages(2, ms)
+                leaderEnds(45_000)
+            },
+            Case("jobs are called off in the moment of their end") {
+                cancelsAtEnd = 0.15
+                closeLooks = 0.3
+                leaderEnds(50_000)
+            },
+            Case("the leader is refused by the state service, first stages are called off, then an outage for all") {
+                closeLooks = 0.2
+                at(40_000) {
+                    leader.also { node ->
+                        spell(0, 14_000, { node.withoutState = true }, { node.withoutState = false })
+                    }
+                }
+                cancelFirstStages(3, 41_000)
+                spell(42_000, 45_000, { store.down = true }, { store.down = false })
+            },
+            Case("a zone is cut off, and first stages are called off") {
+                spell(40_000, 25_000, { weather.cutZones.add(zones[0]) }, { weather.cutZones.clear() })
+                cancelFirstStages(3, 44_000)
+                leaderEnds(50_000)
+            },
+            Case("a rolling upgrade, one by one", startsOld = true) {
+                upgrade(20_000, 8_000, listOf(0, 1, 2, 3, 4))
+                limitsFall(75_000)
+            },
+            Case("a rolling upgrade, two at once", startsOld = true) {
+                upgrade(20_000, 10_000, listOf(3, 1, 4, 0, 2), atOnce = 2)
+                limitsFall(70_000)
+            },
+            Case("a rolling upgrade, the leader first each time", startsOld = true) {
+                upgradeByLeader(20_000, 9_000, leaderFirst = true)
+                limitsFall(80_000)
+            },
+            Case("a rolling upgrade, the leader last, while writes are late", startsOld = true) {
+                lateWrites(15_000, 60_000)
+                upgradeByLeader(20_000, 9_000, leaderFirst = false)
+                limitsFall(85_000)
+            },
+            Case("old processes end and come back old during the upgrade", startsOld = true) {
+                at(24_000) { nodes.filter { it.isOld }.take(2).forEach { end(it, forMs = 2_000, isOld = true) } }
+                upgrade(20_000, 9_000, listOf(0, 1, 2, 3))
+                at(58_000) { end(nodes[4], forMs = 4_000, isOld = true) }
+                at(70_000) { end(nodes[4], forMs = 4_000) }
+                limitsFall(90_000)
+            },
+            Case("jobs are called off and a zone is cut during the upgrade", startsOld = true) {
+                closeLooks = 0.2
+                upgrade(20_000, 8_000, listOf(4, 2, 0, 1, 3))
+                for (ms in 22_000L..60_000L step 6_000) {
+                    at(ms) {
+                        val running = cloud.workers.flatMap {
+                            it.onMachine()
+                        }.map { it.attempt.task.job.value }.distinct()
+                        running.take(1).forEach(::cancel)
+                    }
+                }
+                spell(30_000, 12_000, { weather.cutZones.add(zones[1]) }, { weather.cutZones.clear() })
+                limitsFall(80_000)
+            },
+        ).filter(Seeds::takes)
+    }
+}
--- a/src/test/kotlin/oxbowlug/sim/RulesTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/RulesTest.kt
@@ -70,6 +70,19 @@
         world.runUntil(world.nowMs + ms)
     }
 
+    private val needed = spec.copy(id = JobId("run-needed"), kind = JobKind.ARRAY)
+
+    /** The job needs one that needs one that its user cancelled. */
+    private fun orphan() {
+        val between = needed.copy(id = JobId("run-between"), waitsOn = listOf(needed.id))
+        submit(spec.copy(waitsOn = listOf(between.id)))
+        submit(between)
+        submit(needed)
+        rules.jobs.getValue(needed.id.value).askedToCancel = true
+        val view = JobView(needed.id, ShownState.CANCELLED, 0, 0)
+        rules.told(needed.id.value, UserAnswer.Known(view), world.nowMs)
+    }
+
     private fun cancel() {
         rules.jobs.getValue(spec.id.value).askedToCancel = true
         tell(ShownState.CANCELLED)
@@ -133,6 +146,31 @@
                 cancel()
                 tell(ShownState.RUNNING, askedMs = world.nowMs - 5)
             },
+            Case("too_early", "a task starts while a job that it needs runs") {
+                submit(spec.copy(waitsOn = listOf(needed.id)))
+                submit(needed)
+                start(0, 0)
+            },
+            Case(null, "all that it needs is done") {
+                submit(spec.copy(waitsOn = listOf(needed.id)))
+                submit(needed)
+                repeat(needed.tasks) { rules.done(Attempt(TaskId(needed.id, it), 1)) }
+                start(0, 0)
+            },
+            Case("orphaned", "queued long after a job that it needs through another one was cancelled") {
+                orphan()
+                pass(CANCEL_MS + 1)
+                tell(ShownState.QUEUED)
+            },
+            Case(null, "queued shortly after a job that it needs was cancelled") {
+                orphan()
+                pass(CANCEL_MS - 1)
+                tell(ShownState.QUEUED)
+            },
+            Case(null, "cancelled with a job that it needs") {
+                orphan()
+                tell(ShownState.CANCELLED)
+            },
             Case("went_back", "accepted once more") {
                 cancel()
                 pass(10)
--- a/src/test/kotlin/oxbowlug/wire/JobSpecCodecTest.kt
+++ b/src/test/kotlin/oxbowlug/wire/JobSpecCodecTest.kt
@@ -16,6 +16,21 @@
         assertEquals(900.0, spec.deadlineS)
     }
 
+    @Test
+    fun `jobs to wait for are named once each, and none is the same as an empty list`() {
+        val cases = mapOf(
+            listOf("run-2", "run-1", "run-2") to listOf(JobId("run-2"), JobId("run-1")),
+            emptyList<String>() to emptyList(),
+            null to emptyList(),
+        )
+        for ((given, expected) in cases) {
+            val spec = JobSpecCodec.decode(valid() + ("waits_on" to given))
+            assertEquals(expected, spec.waitsOn)
+            assertEquals(spec, JobSpecCodec.decode(Cbor.decode(Cbor.encode(JobSpecCodec.encode(spec)))))
+        }
+        assertEquals(false, "waits_on" in JobSpecCodec.encode(JobSpecCodec.decode(valid())))
+    }
+
     @Test
     fun `unknown fields are ignored and nullable ones may be missing`() {
         val map = valid() + ("colour" to "green") - "breeds" - "paddock" - "dusk_s"
@@ -52,6 +67,9 @@
             "gpus" to null, "mem_gb" to 1e13, "seedbag" to "", "pull_gb" to -0.1,
             "breeds" to "g8", "breeds" to listOf(1L), "breeds" to listOf(""), "breeds" to List(17) { "t$it" },
             "paddock" to 1L, "same_place" to null, "scatter" to 1L, "stray" to "true",
+            "waits_on" to "run-1", "waits_on" to listOf(1L), "waits_on" to listOf("run 1"), "waits_on" to listOf(""),
+            "waits_on" to listOf("x".repeat(101)), "waits_on" to List(129) { "run-$it" },
+            "waits_on" to mapOf("run-1" to true),
             "haul_s" to null, "rest_s" to -1.0, "stow_s" to 1e10, "dusk_s" to "soon", "dusk_s" to Double.NaN,
         )
     }
