--- a/src/main/kotlin/oxbowlug/core/Authority.kt
+++ b/src/main/kotlin/oxbowlug/core/Authority.kt
@@ -144,7 +144,7 @@
                 }
                 CommitOutcome.LeaseOver -> if (lease == held) lease = null
                 // Refused for its size, it says nothing of the lease.
-                CommitOutcome.Invalid -> nextRegistrationAt = clock.steadyMs() + timing.workerLeaseRawMs
+                CommitOutcome.Invalid -> nextRegistrationAt = clock.steadyMs() + timing.leaseLifeMs
                 is CommitOutcome.Conflict, CommitOutcome.Refused, CommitOutcome.Unanswered -> Unit
             }
         }
--- a/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
+++ b/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
@@ -23,6 +23,9 @@
     private inner class Port : StatePort {
         var reachable = true
 
+        /** Every transaction is refused for its size. */
+        var isTooLarge = false
+
         /** All but readings of jobs and changes, which are asked for beside the election and don't delay it. */
         var calls = 0
             private set
@@ -32,7 +35,9 @@
         }
 
         override fun commit(transaction: Transaction, done: (CommitOutcome) -> Unit) =
-            answer(CommitOutcome.Unanswered, done) { store.commit(transaction) }.also { calls++ }
+            answer(CommitOutcome.Unanswered, done) {
+                if (isTooLarge) CommitOutcome.Invalid else store.commit(transaction)
+            }.also { calls++ }
 
         override fun readPage(prefix: String, after: String?, done: (ReadPage?) -> Unit) {
             if (prefix == Keys.ROSTER) calls++
@@ -89,6 +94,10 @@
             alive = false
         }
 
+        fun refuseSizes(refuse: Boolean) {
+            port.isTooLarge = refuse
+        }
+
         fun cutFromState() {
             port.reachable = false
         }
@@ -146,6 +155,19 @@
         }
     }
 
+    @Test
+    fun `a transaction refused for its size ends no lease, and isn't repeated at each tick`() {
+        val node = Node("n0", "x")
+        node.refuseSizes(true)
+        world.runUntil(500)
+        val leases = node.calls
+        world.runUntil(1_000)
+        assertTrue(node.calls - leases < 5, "${node.calls - leases} calls in half a second")
+        node.refuseSizes(false)
+        world.runUntil(1_000 + 2 * leaseMs)
+        assertTrue(node.role is Role.Leader, "${node.role}")
+    }
+
     @Test
     fun `of two that start together one leads, and the other one is a member`() {
         val nodes = listOf(Node("n0", "x"), Node("n1", "y"))
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/core/CommitsTest.kt
@@ -0,0 +1,170 @@
+package oxbowlug.core
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import oxbowlug.config.SettingsFile
+import oxbowlug.config.WriteLimits
+import oxbowlug.sim.DriftingClock
+import oxbowlug.sim.SimStore
+import oxbowlug.sim.World
+import oxbowlug.wire.Cbor
+import oxbowlug.wire.Change
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobSpecCodec
+import oxbowlug.wire.JobSpecCodecTest
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.ReadPage
+import oxbowlug.wire.Token
+import oxbowlug.wire.Transaction
+import java.util.BitSet
+import kotlin.random.Random
+
+/** How a leader writes its jobs' records while the state service takes less than it did. */
+class CommitsTest {
+    private val world = World(1)
+    private val store = SimStore(world)
+    private val clock = DriftingClock(world, 0.0, 0)
+    private val next = WriteLimits(writeRps = 15.0, valueKb = 2.0, txnOps = 4)
+    private val settings = SettingsFile.parse(SettingsTexts.valid).let { it.copy(state = it.state.copy(next = next)) }
+    private val timing = Timing(settings, Random(1))
+    private val spec = JobSpecCodec.decode(JobSpecCodecTest.valid())
+    private val sent = ArrayList<Transaction>()
+
+    private inner class Port : StatePort {
+        override fun commit(transaction: Transaction, done: (CommitOutcome) -> Unit) {
+            sent.add(transaction)
+            done(store.commit(transaction))
+        }
+
+        override fun readPage(prefix: String, after: String?, done: (ReadPage?) -> Unit) =
+            done(store.read(prefix, after, 1000))
+
+        override fun changes(prefix: String, from: Long, waitMs: Long, done: (ChangesOutcome) -> Unit) {
+            if (waitMs == 0L) done(store.changes(prefix, from))
+        }
+
+        override fun grant(lifeMs: Long, done: (Long?) -> Unit) = Unit
+
+        override fun touch(lease: Long, done: (TouchOutcome) -> Unit) = Unit
+
+        override fun release(lease: Long) = Unit
+    }
+
+    private object Ignored : ReplicaListener {
+        override fun onRoster() = Unit
+
+        override fun onView(view: View) = Unit
+
+        override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
+
+        override fun onDependencyChanged(id: JobId) = Unit
+
+        override fun onWritableFormat(format: WritableFormat) = Unit
+    }
+
+    private val fleet = Fleet(Token(1), clock, timing, Arrivals(settings, 60_000))
+    private lateinit var commits: Commits
+
+    private fun put(key: String, value: Map<String, Any?>) {
+        store.commit(Transaction(emptyList(), listOf(Change.Put(key, value))))
+    }
+
+    /** A leader that has read [records], which were stored whole. */
+    private fun lead(isSwitchedOn: Boolean, vararg records: JobRecord) {
+        val view = View(1, Token(1), Member("n0", "x"), 0)
+        put(Keys.VIEW, view.encode())
+        if (isSwitchedOn) put(Keys.FORMAT, DataFormat.encode(DataFormat.NEWEST))
+        for (record in records) put(Keys.job(record.spec.id.value), record.encode())
+        val replica = Replica(Port(), clock, timing, Ignored).apply { tick() }
+        val version = store.entry(Keys.VIEW)?.version ?: error("it was just written")
+        replica.forEachActive { id, stored -> stored.value?.let { fleet.takeJob(id, stored, it) } }
+        commits = Commits(
+            view.copy(version = version), Names(view.leader), settings, Port(), clock, timing, RateBudget(100.0),
+            replica, fleet,
+        )
+    }
+
+    private fun record(id: String, tasks: Int, placed: Int = 0) = JobRecord(
+        spec.copy(id = JobId(id), tasks = tasks), 5, Phase.ACTIVE, BitSet(), 2,
+        (0 until placed).associateWith { Placement(MachineId("host-%06d".format(it)), 1) }, "w",
+    )
+
+    private fun place(id: String, tasks: IntRange) {
+        val job = fleet.jobs.getValue(JobId(id))
+        for (task in tasks) fleet.place(job, task, fleet.machine(MachineId("host-%06d".format(task))) ?: error("there"))
+        job.closeRound()
+    }
+
+    private fun flush(times: Int = 1) = repeat(times) {
+        commits.flush()
+        world.after(2_000) {}
+        world.runUntil(world.nowMs + 2_000)
+    }
+
+    private fun stored(id: String): JobRecord {
+        val head = store.entry(Keys.job(id))?.value ?: error("$id is stored")
+        return JobRecord.decode(RecordLayout.merge(head) { store.entry(Keys.part(id, it))?.value })
+    }
+
+    @Test
+    fun `a job of 240 tasks on as many machines is placed, ends and is over in small values`() {
+        lead(isSwitchedOn = true, record("big", 240))
+        store.limits = next
+        world.runUntil(world.nowMs + 1_000)
+        place("big", 0..199)
+        flush(2)
+        val job = fleet.jobs.getValue(JobId("big"))
+        assertEquals(200, stored("big").placements.size)
+        assertTrue(job.live.values.all { it.committed })
+        assertTrue(store.keys(Keys.PARTS).isNotEmpty())
+        for (task in 0..198) {
+            job.markDone(task, clock.steadyMs())
+            job.drop(task, clock.steadyMs())
+        }
+        place("big", 200..239)
+        flush(3)
+        assertEquals(41, stored("big").placements.size)
+        for (task in 199..239) {
+            job.markDone(task, clock.steadyMs())
+            job.drop(task, clock.steadyMs())
+        }
+        flush(3)
+        assertEquals(Phase.DONE, stored("big").phase)
+        assertEquals(emptyList<String>(), store.keys(Keys.PARTS), "a finished record shrinks to its head")
+        assertEquals(0, store.refusedForSize)
+    }
+
+    @Test
+    fun `parts that didn't change aren't written again`() {
+        lead(isSwitchedOn = true, record("big", 240))
+        place("big", 0..199)
+        flush()
+        val first = sent.last().changes.size
+        fleet.jobs.getValue(JobId("big")).drop(199, clock.steadyMs())
+        flush(2)
+        assertTrue(first == 3 && sent.last().changes.size == 2, "$first, then ${sent.last().changes.size}")
+    }
+
+    @Test
+    fun `before the switch records are written whole, and what is refused for its size holds up nothing else`() {
+        lead(isSwitchedOn = false, record("big", 240), record("small", 4))
+        store.limits = next
+        world.runUntil(world.nowMs + 1_000)
+        place("big", 0..199)
+        place("small", 0..3)
+        flush(6)
+        assertEquals(4, stored("small").placements.size, "the other one is written")
+        assertEquals(emptyMap<Int, Placement>(), stored("big").placements)
+        assertEquals(emptySet<Int>(), fleet.jobs.getValue(JobId("big")).live.keys, "its placements are taken back")
+        val tooLarge = sent.map { it.changes }.filter { changes ->
+            changes.any { it is Change.Put && Cbor.encode(it.value).size > 2048 }
+        }
+        assertEquals(tooLarge.distinct().size, tooLarge.size, "nothing is sent twice unchanged")
+        place("big", 0..9)
+        world.after(timing.workerLeaseRawMs) {}
+        world.runUntil(world.nowMs + timing.workerLeaseRawMs)
+        flush(2)
+        assertEquals(10, stored("big").placements.size, "with fewer placements it fits")
+    }
+}
--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import oxbowlug.config.Policy
@@ -75,6 +76,22 @@
 
     private val isHeld: Boolean get() = 0 in job.live
 
+    @Test
+    fun `a job that waits for others is never placed`() {
+        var state = DependencyState.WAITING
+        val waiting = Fleet(token, clock, timing, Arrivals(settings, 60_000), dependencyState = { state })
+        val needy = spec.copy(waitsOn = listOf(JobId("run-needed")))
+        val value = Cbor.decode(Cbor.encode(JobRecord(needy, 0, Phase.ACTIVE, BitSet(), 1, emptyMap(), "w").encode()))
+        waiting.takeJob(spec.id, StoredJob(Phase.ACTIVE, 1, spec.tasks, 0, 0, value), value)
+        val host = waiting.machine(machine) ?: error("it is there")
+        val needyJob = waiting.jobs.getValue(spec.id)
+        assertThrows(IllegalStateException::class.java) { waiting.place(needyJob, 0, host) }
+        state = DependencyState.READY
+        waiting.dependencyChanged(spec.id)
+        waiting.place(needyJob, 0, host)
+        assertEquals(setOf(0), needyJob.live.keys)
+    }
+
     @Test
     fun `an inherited attempt is believed in until the worker shows our token without it`() {
         take(record(phase = Phase.CANCELLED), 7)
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -208,18 +208,18 @@
         /** Of this life: an old process that ends with a write on its way stays what it was. */
         private val runsOld = isOld
 
-        override fun commit(given: Transaction, done: (CommitOutcome) -> Unit) {
-            if (runsOld && given.changes.any { OldVersion.ignores(it.key) }) {
+        override fun commit(transaction: Transaction, done: (CommitOutcome) -> Unit) {
+            if (runsOld && transaction.changes.any { OldVersion.ignores(it.key) }) {
                 return settle(world.between(1, 10), CommitOutcome.Applied(0), done)
             }
-            val transaction = if (runsOld) OldVersion.writes(given) else given
+            val written = if (runsOld) OldVersion.writes(transaction) else transaction
             val atOnce = world.chance(weather.unansweredWrites)
             if (stateUp() && !cut && (atOnce || world.chance(weather.lateWrites))) {
                 settle(TIMEOUT_MS, CommitOutcome.Unanswered, done)
                 val delayMs = if (atOnce) world.between(1, 5) else world.between(2_000, 12_000)
-                return world.after(delayMs) { if (!store.down) store.commit(transaction) }
+                return world.after(delayMs) { if (!store.down) store.commit(written) }
             }
-            call(::stateUp, CommitOutcome.Refused, CommitOutcome.Unanswered, done) { store.commit(transaction) }
+            call(::stateUp, CommitOutcome.Refused, CommitOutcome.Unanswered, done) { store.commit(written) }
         }
 
         override fun readPage(prefix: String, after: String?, done: (ReadPage?) -> Unit) =
