--- a/src/main/kotlin/oxbowlug/core/Authority.kt
+++ b/src/main/kotlin/oxbowlug/core/Authority.kt
@@ -77,7 +77,8 @@
     /** Registers this life, stands for election, or both in one transaction, as soon as what is needed is known. */
     fun registerOrStand(now: Long) {
         val held = lease ?: return
-        val mayStand = !electing && replica.writableFormat != WritableFormat.NONE && now >= nextElectionAt && isLeaderMissing()
+        val mayWrite = replica.writableFormat != WritableFormat.NONE
+        val mayStand = !electing && mayWrite && now >= nextElectionAt && isLeaderMissing()
         when {
             registered -> if (mayStand) standForElection(now, joining = null)
             // Registered before the view is known, this life would have to stand in a transaction of its own.
@@ -150,7 +151,8 @@
         }
     }
 
-    private fun registration(held: Long) = Change.Put(memberKey, mapOf("label" to self.label) + DataFormat.encode(DataFormat.NEWEST), held)
+    private fun registration(held: Long) =
+        Change.Put(memberKey, mapOf("label" to self.label) + DataFormat.encode(DataFormat.NEWEST), held)
 
     /** [joining] is the lease under which the same transaction registers this life, unless it is registered. */
     private fun standForElection(now: Long, joining: Long?) {
--- a/src/main/kotlin/oxbowlug/core/Commits.kt
+++ b/src/main/kotlin/oxbowlug/core/Commits.kt
@@ -103,7 +103,7 @@
     /** Placements that aren't stored were never sent, so they can be taken back; without them the record is smaller. */
     private fun makeSmaller(job: Job, now: Long) {
         val takenBack = fleet.takeBackUncommitted(job)
-        log.error("the record of {} is larger than the state service takes; {} placements taken back", job.id, takenBack)
+        log.error("the record of {} is larger than the state service takes, {} placements back", job.id, takenBack)
         job.writeNotBefore = now + timing.workerLeaseRawMs
     }
 
--- a/src/test/kotlin/oxbowlug/core/DependenciesTest.kt
+++ b/src/test/kotlin/oxbowlug/core/DependenciesTest.kt
@@ -167,7 +167,8 @@
         // Its parts are missing.
         pending.add(Event(Keys.job("a"), value("a", Phase.ACTIVE, emptyList()) + (RecordLayout.PARTS to 2L), revision))
         pending.add(Event(Keys.job("b"), mapOf("phase" to "unheard of"), revision))
-        pending.add(Event(Keys.job("c"), value("c", Phase.ACTIVE, emptyList()) + ("run" to mapOf("host-1" to 3L)), revision))
+        val torn = value("c", Phase.ACTIVE, emptyList()) + ("run" to mapOf("host-1" to 3L))
+        pending.add(Event(Keys.job("c"), torn, revision))
         catchUp()
         for (id in listOf("a", "b", "c")) assertEquals(true, replica.job(JobId(id))?.isUnreadable, id)
         write("d", Phase.ACTIVE, "b")
--- a/src/test/kotlin/oxbowlug/core/InheritedUrgencyTest.kt
+++ b/src/test/kotlin/oxbowlug/core/InheritedUrgencyTest.kt
@@ -63,7 +63,8 @@
     fun `a chain of thousands is walked once`() {
         val length = 20_000
         val chain = List(length) { index ->
-            if (index == 0) job("0") else job("$index", "${index - 1}", deadlineS = if (index == length - 1) 1e6 else null)
+            val deadlineS = if (index == length - 1) 1e6 else null
+            if (index == 0) job("0") else job("$index", "${index - 1}", deadlineS = deadlineS)
         }
         update(*chain.toTypedArray())
         assertEquals(1_000_000_000L - (length - 1) * 12_000L, chain.first().latestEndMs)
--- a/src/test/kotlin/oxbowlug/core/RecordLayoutTest.kt
+++ b/src/test/kotlin/oxbowlug/core/RecordLayoutTest.kt
@@ -107,7 +107,8 @@
             "the longest names" to record(longestNames, onMachines(0..9, 10), phase = Phase.CANCELLED),
         )
         for ((name, record) in cases) {
-            val head = layout.headAlone(record.encode() + (RecordLayout.PARTS to 3L) + ("cancelled" to 1_700_000_000_000))
+            val stored = record.encode() + (RecordLayout.PARTS to 3L) + ("cancelled" to 1_700_000_000_000)
+            val head = layout.headAlone(stored)
             assertFits(StoredForm(head, emptyList()), name)
             assertEquals(Phase.CANCELLED, JobRecord.decode(Cbor.decode(Cbor.encode(head))).phase)
             assertEquals(3, RecordLayout.partCount(head))
@@ -144,6 +145,7 @@
         val perTask = "host-000000".length + 3 + 2 * 6 + 14
         val more = onMachines(200..(319 + room / perTask), 1_200)
         assertTrue(room / perTask > 40, "room for ${room / perTask} more")
-        assertFits(layout.split(record(spec.copy(tasks = 100_000), more, done).encode()) ?: error("doesn't fit"), "full")
+        val full = record(spec.copy(tasks = 100_000), more, done)
+        assertFits(layout.split(full.encode()) ?: error("doesn't fit"), "full")
     }
 }
--- a/src/test/kotlin/oxbowlug/sim/OldVersion.kt
+++ b/src/test/kotlin/oxbowlug/sim/OldVersion.kt
@@ -8,8 +8,8 @@
 import oxbowlug.wire.Transaction
 
 /**
- * What the version in production makes of the store: it knows neither format keys nor parts, its member key says nothing
- * of formats, and it keeps no field that it doesn't know. Whatever it must never meet fails the day.
+ * What the version in production makes of the store: it knows neither format keys nor parts, its member key says
+ * nothing of formats, and it keeps no field that it doesn't know. Whatever it must never meet fails the day.
  */
 object OldVersion {
     private val newKeys = listOf(Keys.FORMATS, Keys.FORMAT, Keys.PARTS)
--- a/src/test/kotlin/oxbowlug/sim/PipelinesTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/PipelinesTest.kt
@@ -40,8 +40,8 @@
     }
 
     companion object {
-        /** Smaller than any array's record. */
-        private val NEXT = WriteLimits(writeRps = 30.0, valueKb = 1.0, txnOps = 4)
+        /** Smaller than the record of a stage on several machines. */
+        private val NEXT = WriteLimits(writeRps = 30.0, valueKb = 0.75, txnOps = 4)
 
         private fun Simulation.at(ms: Long, action: Simulation.() -> Unit) = world.after(ms) { action() }
 
@@ -77,7 +77,7 @@
             }
         }
 
-        private fun Simulation.spell(atMs: Long, forMs: Long, begin: Simulation.() -> Unit, end: Simulation.() -> Unit) {
+        private fun Simulation.spell(atMs: Long, forMs: Long, begin: () -> Unit, end: () -> Unit) {
             at(atMs) { begin() }
             at(atMs + forMs) { end() }
         }
@@ -132,9 +132,8 @@
             Case("the leader is refused by the state service, first stages are called off, then an outage for all") {
                 closeLooks = 0.2
                 at(40_000) {
-                    leader.also { node ->
-                        spell(0, 14_000, { node.withoutState = true }, { node.withoutState = false })
-                    }
+                    val node = leader
+                    spell(0, 14_000, { node.withoutState = true }, { node.withoutState = false })
                 }
                 cancelFirstStages(3, 41_000)
                 spell(42_000, 45_000, { store.down = true }, { store.down = false })
--- a/src/test/kotlin/oxbowlug/sim/Simulation.kt
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -207,7 +207,7 @@
         className = ClassName("stage"),
         kind = JobKind.ARRAY,
         priority = Priority.LOW,
-        tasks = 1 + world.random.nextInt(6),
+        tasks = 1 + world.random.nextInt(16),
         cores = 1.0,
         gpus = 0.0,
         types = null,
