--- a/src/test/kotlin/oxbowlug/sim/PipelinesTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/PipelinesTest.kt
@@ -41,7 +41,7 @@
 
     companion object {
         /** Smaller than the record of a stage on several machines. */
-        private val NEXT = WriteLimits(writeRps = 30.0, valueKb = 0.75, txnOps = 4)
+        private val NEXT = WriteLimits(writeRps = 30.0, valueKb = 0.65, txnOps = 4)
 
         private fun Simulation.at(ms: Long, action: Simulation.() -> Unit) = world.after(ms) { action() }
 
--- a/src/test/kotlin/oxbowlug/sim/Simulation.kt
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -202,13 +202,13 @@
         }
     }
 
-    /** A stage of a pipeline: some short tasks without GPUs. */
+    /** A stage of a pipeline: some short tasks without GPUs, few on a machine so that records are long. */
     fun stage(id: String, vararg needs: JobSpec): JobSpec = randomSpec(id).copy(
         className = ClassName("stage"),
         kind = JobKind.ARRAY,
         priority = Priority.LOW,
-        tasks = 1 + world.random.nextInt(16),
-        cores = 1.0,
+        tasks = 1 + world.random.nextInt(12),
+        cores = 16.0,
         gpus = 0.0,
         types = null,
         zone = null,
