--- a/src/test/kotlin/oxbowlug/sim/PipelinesTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/PipelinesTest.kt
@@ -34,6 +34,7 @@
             assertEquals(emptyList<String>(), day.rules.unfinished(), "$what: not served")
             assertTrue(day.store.entry(Keys.FORMAT) != null, "$what: the format isn't switched on")
             assertEquals(0, day.store.refusedForSize, "$what: refused for their size")
+            assertTrue(day.store.partsWritten > 0, "$what: no record was divided")
             val stages = day.rules.jobs.filterKeys { it.startsWith("pipe-") }.values
             assertTrue(stages.count { it.started.isNotEmpty() } > 20, "$what: few stages started")
         }
@@ -41,7 +42,7 @@
 
     companion object {
         /** Smaller than the record of a stage on several machines. */
-        private val NEXT = WriteLimits(writeRps = 30.0, valueKb = 0.65, txnOps = 4)
+        private val NEXT = WriteLimits(writeRps = 30.0, valueKb = 0.58, txnOps = 4)
 
         private fun Simulation.at(ms: Long, action: Simulation.() -> Unit) = world.after(ms) { action() }
 
--- a/src/test/kotlin/oxbowlug/sim/SimStore.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimStore.kt
@@ -4,6 +4,7 @@
 import oxbowlug.config.WriteLimits
 import oxbowlug.core.ChangesOutcome
 import oxbowlug.core.CommitOutcome
+import oxbowlug.core.Keys
 import oxbowlug.core.TouchOutcome
 import oxbowlug.wire.Cbor
 import oxbowlug.wire.Change
@@ -57,6 +58,10 @@
     var refusedForRate = 0
         private set
 
+    /** Parts of records that didn't fit one value. */
+    var partsWritten = 0
+        private set
+
     private fun refusal(transaction: Transaction): CommitOutcome? {
         val present = limits ?: return null
         writeTokens = minOf(present.writeRps, writeTokens + (world.nowMs - tokensAt) * present.writeRps / 1000.0)
@@ -102,6 +107,7 @@
                 entries[change.key] = Entry(change.key, value, revision)
                 if (change.lease == null) attached.remove(change.key) else attached[change.key] = change.lease
                 history.addLast(Event(change.key, value, revision))
+                if (change.key.startsWith(Keys.PARTS)) partsWritten++
             }
             is Change.Delete -> {
                 entries.remove(change.key)
