Room for more tasks is counted for however they end, and 240 fit on as many machines at once

Tasks of one machine are one short range while they run, and may leave a range each: counted as they stood, a record could have outgrown its values later. Test: RecordLayoutTest, five shapes with four ways of ending each.

--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -36,7 +36,7 @@
     private val valueLimit = (settings.state.valueKb * 1024).toInt()
     private val dividedRecords = RecordLayout(settings.state.lowest)
 
-    private var longestMachineName = LONG_MACHINE_NAME
+    private var machineNameBytes = LONG_MACHINE_NAME
 
     fun snapshot(types: Map<TypeName, MachineType>, mayMove: Boolean): Snapshot {
         val now = clock.steadyMs()
@@ -52,7 +52,7 @@
                 if (!placed.isWanted) team.expectStop(need)
             }
         }
-        longestMachineName = fleet.machines.keys.maxOfOrNull { it.value.length } ?: LONG_MACHINE_NAME
+        machineNameBytes = machineNameBytes()
         val machines = ArrayList<PlanMachine>(fleet.machines.size)
         val zoneUses = ZoneUses(fleet, settings.zones)
         val pledges = pledges()
@@ -144,11 +144,14 @@
         return (maxOf(many, few) - job.live.size).coerceAtLeast(0)
     }
 
-    private fun dividedRoom(job: Job): Int {
-        val record = job.record("")
-        val perTask = longestMachineName + record.nextAttempt.toString().length +
-            2 * job.spec.tasks.toString().length + PLACEMENT_MARKS
-        return (dividedRecords.roomInParts(record.encode()) / perTask).coerceAtLeast(if (job.live.isEmpty()) 1 else 0)
+    private fun dividedRoom(job: Job): Int =
+        dividedRecords.roomForTasks(job.record(""), machineNameBytes).coerceAtLeast(if (job.live.isEmpty()) 1 else 0)
+
+    /** The longest machine name less what all of them share. */
+    private fun machineNameBytes(): Int {
+        val names = fleet.machines.keys.map { it.value }
+        val longest = names.maxOfOrNull { it.length } ?: return LONG_MACHINE_NAME
+        return longest - if (names.size > 1) RecordLayout.commonPrefix(names).length else 0
     }
 
     private fun machine(
@@ -305,9 +308,6 @@
         const val SOON_S = 1.0
         const val LONG_MACHINE_NAME = 24
         const val SPARE = 2.0
-
-        /** Quotes, separators and brackets around a machine's name, an attempt and a range in a record. */
-        const val PLACEMENT_MARKS = 14
     }
 }
 
--- a/src/main/kotlin/oxbowlug/core/RecordLayout.kt
+++ b/src/main/kotlin/oxbowlug/core/RecordLayout.kt
@@ -51,11 +51,22 @@
         return head
     }
 
-    /** Bytes that tasks may still take in the parts, less what is lost where parts don't fill up. */
-    fun roomInParts(record: Map<String, Any?>): Int {
-        if (mostParts == 0) return valueBytes - record.sizeAsJson()
-        val used = (record[RUN]?.sizeAsJson() ?: 0) + (record[DONE]?.sizeAsJson() ?: 0)
-        return (mostParts * (valueBytes - PART_RESERVE - LARGEST_PIECE)) - used
+    /**
+     * How many more tasks may be placed, each on a machine of its own, so that the record fits however the tasks end:
+     * those of one machine are one short range at first, and may leave a range each. [nameBytes] is the length of the
+     * longest machine name less what all names share.
+     */
+    fun roomForTasks(record: JobRecord, nameBytes: Int): Int {
+        val taskBytes = record.spec.tasks.toString().length
+        val rangeBytes = 2 * taskBytes + RANGE_MARKS
+        val machineBytes = nameBytes + record.nextAttempt.toString().length + MACHINE_MARKS
+        val aloneBytes = machineBytes + taskBytes + 1
+        val machines = record.placements.values.distinctBy { it.machine }.size
+        val placed = record.placements.size
+        val usedBytes = Ranges.encode(record.done).length + machines * aloneBytes + (placed - machines) * rangeBytes
+        val largestPiece = machineBytes + RANGES_A_PIECE * rangeBytes
+        val capacity = mostParts * (valueBytes - PART_RESERVE - largestPiece)
+        return (capacity - usedBytes) / aloneBytes
     }
 
     private fun moveLists(head: LinkedHashMap<String, Any?>, pieces: ArrayList<Piece>) {
@@ -168,11 +179,14 @@
         private const val HEAD_RESERVE = 64
 
         /** Field names and brackets of a part, with the machines' common prefix. */
-        private const val PART_RESERVE = 128
+        private const val PART_RESERVE = 96
         private const val RANGES_A_PIECE = 8
 
-        /** A machine's name and so many ranges. */
-        private const val LARGEST_PIECE = 160
+        /** A dash and a comma. */
+        private const val RANGE_MARKS = 2
+
+        /** Quotes, colons and commas around a machine's name and its tasks. */
+        private const val MACHINE_MARKS = 10
 
         fun partCount(head: Map<String, Any?>): Int = head.fields().countOr(PARTS, 0).toInt()
 
@@ -204,12 +218,12 @@
         }
 
         /** Up to the last letter that the names share: machines are numbered. */
-        private fun commonPrefix(names: List<String>): String {
+        fun commonPrefix(names: Collection<String>): String {
             val shared = names.reduceOrNull { one, other -> one.commonPrefixWith(other) }.orEmpty()
             return shared.take(MAX_PREFIX).trimEnd { it.isDigit() }
         }
 
-        private const val MAX_PREFIX = 64
+        private const val MAX_PREFIX = 40
 
         /** At most so many ranges each, so that one machine with many tasks can be divided between parts. */
         private fun chunks(ranges: String): List<String> =
--- a/src/test/kotlin/oxbowlug/core/RecordLayoutTest.kt
+++ b/src/test/kotlin/oxbowlug/core/RecordLayoutTest.kt
@@ -136,16 +136,49 @@
         assertNull(RecordLayout(limits.copy(valueKb = 0.2)).split(record(spec).encode()))
     }
 
+    /** As many tasks as there is room for, [perMachine] on each machine, on top of what was done before. */
+    private fun fill(tasks: Int, perMachine: Int, doneBefore: BitSet): JobRecord {
+        val job = spec.copy(tasks = tasks)
+        val placements = LinkedHashMap<Int, Placement>()
+        val from = doneBefore.length()
+        while (true) {
+            val room = layout.roomForTasks(record(job, placements, doneBefore), "000000".length)
+            val next = minOf(room, tasks - from - placements.size)
+            if (next <= 0) return record(job, placements, doneBefore)
+            repeat(next) {
+                val task = from + placements.size
+                placements[task] = Placement(MachineId("host-%06d".format(task / perMachine)), 136)
+            }
+        }
+    }
+
     @Test
-    fun `there is always room for the next task of 100,000, on 1,200 machines`() {
-        val done = BitSet().apply { for (index in 0 until 200 step 2) set(index) }
-        val live = onMachines(200..319, 1_200)
-        val record = record(spec.copy(tasks = 100_000), live, done)
-        val room = layout.roomInParts(record.encode())
-        val perTask = "host-000000".length + 3 + 2 * 6 + 14
-        val more = onMachines(200..(319 + room / perTask), 1_200)
-        assertTrue(room / perTask > 40, "room for ${room / perTask} more")
-        val full = record(spec.copy(tasks = 100_000), more, done)
-        assertFits(layout.split(full.encode()) ?: error("doesn't fit"), "full")
+    fun `what there is room for fits, however its tasks end`() {
+        class Case(val tasks: Int, val perMachine: Int, val doneRanges: Int, val atLeast: Int)
+        val cases = listOf(
+            Case(tasks = 240, perMachine = 1, doneRanges = 0, atLeast = 240),
+            Case(tasks = 240, perMachine = 8, doneRanges = 0, atLeast = 240),
+            Case(tasks = 100_000, perMachine = 1, doneRanges = 0, atLeast = 150),
+            Case(tasks = 100_000, perMachine = 64, doneRanges = 0, atLeast = 300),
+            Case(tasks = 100_000, perMachine = 2, doneRanges = 200, atLeast = 100),
+        )
+        for (case in cases) {
+            val name = "${case.tasks} tasks, ${case.perMachine} a machine, ${case.doneRanges} ranges done"
+            val before = BitSet().apply { for (index in 0 until case.doneRanges) set(index * 2) }
+            val full = fill(case.tasks, case.perMachine, before)
+            assertTrue(full.placements.size >= case.atLeast, "$name: ${full.placements.size} at once")
+            // The worst ends: every other task, or all but one of each machine.
+            val ends = listOf<
+                (
+                    Int
+                ) -> Boolean
+            >({ false }, { it % 2 == 0 }, { it % 2 == 1 }, { it % case.perMachine != 0 })
+            for ((index, end) in ends.withIndex()) {
+                val ended = full.placements.keys.filter(end)
+                val done = (before.clone() as BitSet).apply { ended.forEach(::set) }
+                val later = record(full.spec, full.placements - ended.toSet(), done)
+                assertFits(layout.split(later.encode()) ?: error("$name: end $index doesn't fit"), name)
+            }
+        }
     }
 }
