--- a/src/main/kotlin/oxbowlug/core/Commits.kt
+++ b/src/main/kotlin/oxbowlug/core/Commits.kt
@@ -41,7 +41,13 @@
         }
     }
 
-    private class Prepared(val job: Job, val record: JobRecord, val form: StoredForm, val changes: List<Change>) {
+    private class Prepared(
+        val job: Job,
+        val record: JobRecord,
+        val form: StoredForm,
+        val changes: List<Change>,
+        val isDivided: Boolean,
+    ) {
         val bytes: Int = changes.sumOf { if (it is Change.Put) it.value.sizeAsJson() else 0 }
     }
 
@@ -98,7 +104,7 @@
             makeSmaller(job, now)
             return null
         }
-        return Prepared(job, record, form, changes(job, form))
+        return Prepared(job, record, form, changes(job, form), isDivided)
     }
 
     private fun changes(job: Job, form: StoredForm): List<Change> {
@@ -133,12 +139,13 @@
         }
         state.commit(Transaction(conditions, changes)) { outcome ->
             inFlight--
-            take(outcome, group.map { it.job })
+            take(outcome, group)
         }
     }
 
-    private fun take(outcome: CommitOutcome, group: List<Job>) {
+    private fun take(outcome: CommitOutcome, prepared: List<Prepared>) {
         val now = clock.steadyMs()
+        val group = prepared.map { it.job }
         when (outcome) {
             is CommitOutcome.Applied -> for (job in group) {
                 // The watch may have brought the write before its answer did.
@@ -159,7 +166,7 @@
                 for (job in group) if (job.isWriting) job.notWritten(now)
                 notBefore = now + timing.retryMs()
             }
-            CommitOutcome.Invalid, CommitOutcome.LeaseOver -> refuseSize(group, now)
+            CommitOutcome.Invalid, CommitOutcome.LeaseOver -> refuseSize(prepared, now)
             CommitOutcome.Unanswered -> {
                 // It may have been applied, or may be later: read, then write again under the same versions.
                 replica.catchUp { for (job in group) if (job.isWriting) job.notWritten(clock.steadyMs()) }
@@ -168,13 +175,16 @@
     }
 
     /** Sent again unchanged it would be refused for ever: first each job alone, then with what can be taken back. */
-    private fun refuseSize(group: List<Job>, now: Long) {
-        for (job in group) if (job.isWriting) job.notWritten(now)
-        if (group.size > 1) {
-            log.error("the state service refused a transaction of {} records for its size", group.size)
-            for (job in group) job.isWrittenAlone = true
+    private fun refuseSize(prepared: List<Prepared>, now: Long) {
+        for (each in prepared) if (each.job.isWriting) each.job.notWritten(now)
+        // Written whole just before the format was switched on, they are divided the next time.
+        val isOutdated = replica.writableFormat == WritableFormat.HEAD_AND_PARTS && prepared.none { it.isDivided }
+        if (isOutdated) return
+        if (prepared.size > 1) {
+            log.error("the state service refused a transaction of {} records for its size", prepared.size)
+            for (each in prepared) each.job.isWrittenAlone = true
         } else {
-            for (job in group) makeSmaller(job, now)
+            for (each in prepared) makeSmaller(each.job, now)
         }
     }
 
--- a/src/main/kotlin/oxbowlug/core/Job.kt
+++ b/src/main/kotlin/oxbowlug/core/Job.kt
@@ -194,6 +194,7 @@
         version = maxOf(version, revision)
         stored = record.placements
         storedParts = pendingParts
+        isWrittenAlone = false
         lastWrite = record.write
         for ((task, placement) in record.placements) {
             val placed = live[task]
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -66,6 +66,8 @@
     fun divideLargeRecords() {
         val limit = settings.state.lowest.valueKb * BYTES_PER_KB
         val now = clock.steadyMs()
+        // What was too large to be written whole may be written in parts at once.
+        for (job in fleet.jobs.values) job.writeNotBefore = now
         fleet.jobs.values
             .map { job -> job to if (job.storedParts.isEmpty()) job.record("").encode().sizeAsJson() else 0 }
             .filter { (_, bytes) -> bytes > limit }
