--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -49,7 +49,7 @@
         self, settings, clock, timing, replica, cancellations, outlook, cloud, workers, cloudBudget,
     )
     private val knowledge = Knowledge(self, settings, clock, timing, replica)
-    private val desk = Desk(
+    private val jobRequests = JobRequests(
         names, settings, state, clock, timing, replica, ownWrites, meters, cancellations::confirmed,
         cancellations::told,
     )
@@ -62,8 +62,8 @@
     private var rememberedImages: Map<MachineId, List<ImageName>> = emptyMap()
 
     val queueDepth: Int get() = queue.size
-    val submissionsInProgress: Int get() = desk.inProgress
-    val submissionLimit: Int get() = desk.limit
+    val submissionsInProgress: Int get() = jobRequests.inProgress
+    val submissionLimit: Int get() = jobRequests.limit
     val commitBacklog: Int get() = leader?.commitBacklog ?: 0
     val waitingTasks: Int get() = leader?.waitingTasks ?: 0
     val machineCount: Int get() = leader?.fleet?.machines?.size ?: 0
@@ -140,10 +140,10 @@
 
     private fun handle(command: Command) {
         when (command) {
-            is Command.Submit -> desk.submit(command.spec, types, command.answer)
-            is Command.SubmitMalformed -> desk.submitMalformed(command.id, command.problem, command.answer)
-            is Command.Poll -> desk.poll(command.id, command.answer)
-            is Command.Cancel -> desk.cancel(command.id, command.answer)
+            is Command.Submit -> jobRequests.submit(command.spec, types, command.answer)
+            is Command.SubmitMalformed -> jobRequests.submitMalformed(command.id, command.problem, command.answer)
+            is Command.Poll -> jobRequests.poll(command.id, command.answer)
+            is Command.Cancel -> jobRequests.cancel(command.id, command.answer)
             is Command.Report -> {
                 load.reported()
                 answerOrWait(WaitingReport(command, clock.steadyMs() + timing.reportWaitMs))
--- a/src/main/kotlin/oxbowlug/core/Desk.kt
+++ b/src/main/kotlin/oxbowlug/core/JobRequests.kt
@@ -37,7 +37,7 @@
 }
 
 /** Answers users. Every controller does, each with the same answers, because each first catches up with the store. */
-class Desk(
+class JobRequests(
     private val names: Names,
     private val settings: Settings,
     private val state: StatePort,
--- a/src/test/kotlin/oxbowlug/core/DeskTest.kt
+++ b/src/test/kotlin/oxbowlug/core/JobRequestsTest.kt
@@ -26,7 +26,7 @@
 import kotlin.random.Random
 
 /** Users' requests that meet another controller's write in the very moment of their own. */
-class DeskTest {
+class JobRequestsTest {
     private val settings = SettingsFile.parse(SettingsTexts.valid)
     private val world = World(1)
     private val store = SimStore(world)
@@ -93,7 +93,7 @@
     private val replica = Replica(Port(), clock, timing, Ignored)
     private val told = ArrayList<String>()
 
-    private fun desk(copy: Replica) = Desk(
+    private fun jobRequests(copy: Replica) = JobRequests(
         Names(Member("n0", "x")), settings, Port(), clock, timing, copy, RateBudget(10.0), NoMeters,
         onCancelled = { id, _, value -> told.add("confirmed $id of ${machines(value)} machines") },
         onToldCancelled = { told.add("told $it") },
@@ -136,7 +136,7 @@
             val answers = ArrayList<UserAnswer>()
             val fresh = Replica(Port(), clock, timing, Ignored).apply { tick() }
             meanwhile = case.meanwhile
-            desk(fresh).cancel(spec.id) { answers.add(it) }
+            jobRequests(fresh).cancel(spec.id) { answers.add(it) }
             world.runUntil(world.nowMs + 1_000)
             repeat(5) { fresh.tick() }
             val shown = answers.map { (it as UserAnswer.Known).view.state }
@@ -160,7 +160,7 @@
 
     private fun answerTo(copy: Replica, spec: JobSpec): UserAnswer {
         val answers = ArrayList<UserAnswer>()
-        desk(copy).submit(spec, types) { answers.add(it) }
+        jobRequests(copy).submit(spec, types) { answers.add(it) }
         world.runUntil(world.nowMs + 1_000)
         repeat(5) { copy.tick() }
         return answers.single()
@@ -211,7 +211,7 @@
         val copy = Replica(Port(), clock, timing, Ignored).apply { tick() }
         val before = store.revision
         assertEquals(true, answerTo(copy, spec) is UserAnswer.Unavailable)
-        desk(copy).cancel(JobId("run-a")) { assertEquals(true, it is UserAnswer.Unavailable) }
+        jobRequests(copy).cancel(JobId("run-a")) { assertEquals(true, it is UserAnswer.Unavailable) }
         assertEquals(before, store.revision)
     }
 
@@ -223,7 +223,7 @@
         assertEquals(true, answerTo(copy, never) is UserAnswer.Known)
         for ((id, expected) in listOf("run-a" to "Known", "run-b" to "Malformed")) {
             val answers = ArrayList<UserAnswer>()
-            desk(copy).submitMalformed(JobId(id), "waits_on: must be a list") { answers.add(it) }
+            jobRequests(copy).submitMalformed(JobId(id), "waits_on: must be a list") { answers.add(it) }
             world.runUntil(world.nowMs + 1_000)
             repeat(5) { copy.tick() }
             assertEquals(listOf(expected), answers.map { it::class.simpleName }, id)
@@ -237,13 +237,13 @@
         names.forEach { accept(it) }
         val small = settings.state.copy(next = WriteLimits(15.0, 2.0, 4))
         val copy = Replica(Port(), clock, timing, Ignored).apply { tick() }
-        val desk = Desk(
+        val jobRequests = JobRequests(
             Names(Member("n0", "x")), settings.copy(state = small), Port(), clock, timing, copy, RateBudget(10.0),
             NoMeters, { _, _, _ -> }, {},
         )
         val before = store.revision
         val answers = ArrayList<UserAnswer>()
-        desk.submit(spec.copy(waitsOn = names.map(::JobId)), types) { answers.add(it) }
+        jobRequests.submit(spec.copy(waitsOn = names.map(::JobId)), types) { answers.add(it) }
         assertEquals(UserAnswer.Malformed("waits_on: is larger than can be stored"), answers.single())
         assertEquals(before, store.revision)
     }
@@ -264,13 +264,13 @@
             store.limits = limits
             world.runUntil(world.nowMs + 2_000)
             told.clear()
-            val desk = Desk(
+            val jobRequests = JobRequests(
                 Names(Member("n0", "x")), settings.copy(state = settings.state.copy(next = limits)), Port(), clock,
                 timing, copy, RateBudget(10.0), NoMeters,
                 { id, _, value -> told.add("confirmed $id of ${machines(value)} machines") }, {},
             )
             val answers = ArrayList<UserAnswer>()
-            desk.cancel(spec.id) { answers.add(it) }
+            jobRequests.cancel(spec.id) { answers.add(it) }
             world.runUntil(world.nowMs + 1_000)
             assertEquals(ShownState.CANCELLED, (answers.single() as UserAnswer.Known).view.state)
             assertEquals(listOf("confirmed ${spec.id} of 240 machines"), told)
@@ -288,7 +288,7 @@
             replica.catchUp {}
         }
         val answers = ArrayList<UserAnswer>()
-        desk(replica).submit(spec, types) { answers.add(it) }
+        jobRequests(replica).submit(spec, types) { answers.add(it) }
         assertEquals(listOf(UserAnswer.Known(JobView(spec.id, ShownState.CANCELLED, 0, 0))), answers)
     }
 }
