--- a/src/main/kotlin/oxbowlug/core/Cancellations.kt
+++ b/src/main/kotlin/oxbowlug/core/Cancellations.kt
@@ -35,7 +35,7 @@
  * Cancelled jobs whose attempts aren't proven gone. A cancellation that is committed may be unknown to the controller
  * that keeps the workers' leases alive: the state service refused that one alone, and is then down for all. So whoever
  * confirms one tells the others before the user, until each has said that it knows; whoever learns of one passes it on
- * to those that may have missed it; and what nobody entitled takes over ends by [Remedy].
+ * to those that may have missed it; and what nobody entitled takes over ends by [CancellationEnforcer].
  */
 class Cancellations(
     private val self: Member,
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -45,7 +45,7 @@
     private val cancellations = Cancellations(
         self, settings, clock, timing, replica, outlook, peers, ::hasEnded,
     )
-    private val remedy = Remedy(
+    private val cancellationEnforcer = CancellationEnforcer(
         self, settings, clock, timing, replica, cancellations, outlook, cloud, workers, cloudBudget,
     )
     private val knowledge = Knowledge(self, settings, clock, timing, replica)
@@ -234,7 +234,7 @@
         formatUpgrade.tick(replica.view?.takeIf { isLeading })
         val role = authority.role()
         val leading = leading()
-        if (leading == null || role !is Role.Leader && role !is Role.Caretaker) return remedy.tick()
+        if (leading == null || role !is Role.Leader && role !is Role.Caretaker) return cancellationEnforcer.tick()
         if (role is Role.Caretaker) return leading.takeCare()
         leading.tick(types)
         // Cut from the workers alone, a leader would send them all to itself until their leases are over.
