--- a/src/main/kotlin/oxbowlug/core/CancellationEnforcer.kt
+++ b/src/main/kotlin/oxbowlug/core/CancellationEnforcer.kt
@@ -51,9 +51,9 @@
     }
 
     /** The leader knows of it and is heard: it has until the last moment. */
-    private fun isInGoodHands(duty: Cancellations.Duty): Boolean {
+    private fun isInGoodHands(pending: Cancellations.PendingCancellation): Boolean {
         val leader = replica.view?.leader ?: return false
-        return leader in duty.acknowledged && outlook.lifeOf(leader.label) == leader && outlook.isHeard(leader.label)
+        return leader in pending.acknowledged && outlook.lifeOf(leader.label) == leader && outlook.isHeard(leader.label)
     }
 
     fun tick() {
@@ -65,18 +65,18 @@
         val now = clock.steadyMs()
         val rank = rank().coerceAtLeast(0)
         val toReturn = LinkedHashSet<MachineId>()
-        for (duty in cancellations.open) {
-            if (duty.hasEnded) continue
-            val sinceMs = now - duty.confirmedAt
-            val fromMs = if (isInGoodHands(duty)) timing.dutyReturnMs * 3 / 4 else timing.dutyPatienceMs
-            if (sinceMs < fromMs + rank * timing.dutyStepMs) continue
-            for ((machine, attempts) in duty.attempts) {
+        for (pending in cancellations.open) {
+            if (pending.hasEnded) continue
+            val sinceMs = now - pending.confirmedAt
+            val fromMs = if (isInGoodHands(pending)) timing.enforceByReturnMs * 3 / 4 else timing.enforceAfterMs
+            if (sinceMs < fromMs + rank * timing.enforceStepMs) continue
+            for ((machine, attempts) in pending.attempts) {
                 if (machine in returned) continue
                 val watch = watched.getOrPut(machine, ::Watched)
                 look(machine, watch, attempts, now)
                 val clearAt = watch.clearAt
                 val isClear = clearAt != null && now - clearAt < timing.suspectMs
-                if (sinceMs > timing.dutyReturnMs + rank * callMs && !isClear) toReturn.add(machine)
+                if (sinceMs > timing.enforceByReturnMs + rank * callMs && !isClear) toReturn.add(machine)
             }
         }
         if (toReturn.isNotEmpty()) giveBack(toReturn.take(CloudCodec.MAX_RETURNED), now)
--- a/src/main/kotlin/oxbowlug/core/Cancellations.kt
+++ b/src/main/kotlin/oxbowlug/core/Cancellations.kt
@@ -48,7 +48,12 @@
     /** What the leader here, if there is one, knows of the job's attempts; null: not its affair, or not known. */
     private val hasEndedHere: (JobId) -> Boolean?,
 ) {
-    class Duty(var cancellation: Cancellation, var isOwn: Boolean, val learnedAt: Long, val confirmedAt: Long) {
+    class PendingCancellation(
+        var cancellation: Cancellation,
+        var isOwn: Boolean,
+        val learnedAt: Long,
+        val confirmedAt: Long
+    ) {
         val acknowledged = HashSet<Member>()
 
         /** The record that was cancelled names every machine on which an attempt can be, or can still arrive. */
@@ -72,15 +77,15 @@
         var hasEnded = false
     }
 
-    private val duties = LinkedHashMap<JobId, Duty>()
+    private val pendingById = LinkedHashMap<JobId, PendingCancellation>()
     private var nextTellAt = 0L
 
-    val open: Collection<Duty> get() = duties.values
+    val open: Collection<PendingCancellation> get() = pendingById.values
 
     /** Whether the leader doesn't yet know of one that was confirmed here. */
-    fun owes(): Boolean {
+    fun hasUnacknowledged(): Boolean {
         val leader = replica.view?.leader ?: return false
-        return leader != self && duties.values.any { it.isOwn && !it.hasEnded && leader !in it.acknowledged }
+        return leader != self && pendingById.values.any { it.isOwn && !it.hasEnded && leader !in it.acknowledged }
     }
 
     /** Committed here, and about to be told to its user: an end of this process right after must not lose it. */
@@ -95,66 +100,66 @@
         if (stored.phase == Phase.CANCELLED && stored.placed > 0) {
             take(Cancellation(id, stored.version, value), isOwn = false)
         } else {
-            duties.remove(id)
+            pendingById.remove(id)
         }
     }
 
     private fun take(cancellation: Cancellation, isOwn: Boolean) {
-        val present = duties[cancellation.id]
+        val present = pendingById[cancellation.id]
         if (present != null) {
             if (cancellation.version > present.cancellation.version) present.cancellation = cancellation
             // The watch may have brought our own write before its answer came.
-            if (isOwn) owe(present)
+            if (isOwn) announce(present)
             return
         }
         val record = JobRecord.decode(cancellation.value)
         if (record.placements.isEmpty()) return
         val now = clock.steadyMs()
         val ageMs = record.cancelledMs?.let { clock.wallMs() - it + settings.skewMs.toLong() } ?: 0
-        val duty = Duty(cancellation, isOwn, now, now - ageMs.coerceIn(0, timing.cancelMs))
-        duties[cancellation.id] = duty
-        if (isOwn) sendToAll(duty)
+        val pending = PendingCancellation(cancellation, isOwn, now, now - ageMs.coerceIn(0, timing.cancelMs))
+        pendingById[cancellation.id] = pending
+        if (isOwn) sendToAll(pending)
     }
 
     /** A user is about to be told of it from what was read here, which confirms it just as well. */
     fun told(id: JobId) {
-        duties[id]?.let(::owe)
+        pendingById[id]?.let(::announce)
     }
 
-    private fun owe(duty: Duty) {
+    private fun announce(pending: PendingCancellation) {
         val leader = replica.view?.leader
-        if (duty.isOwn || duty.hasEnded || leader in duty.acknowledged) return
-        duty.isOwn = true
-        sendToAll(duty)
+        if (pending.isOwn || pending.hasEnded || leader in pending.acknowledged) return
+        pending.isOwn = true
+        sendToAll(pending)
     }
 
-    private fun sendToAll(duty: Duty) {
-        for (peer in settings.peers) peers.send(peer.label, PeerWord.Cancelled(self, duty.cancellation))
+    private fun sendToAll(pending: PendingCancellation) {
+        for (peer in settings.peers) peers.send(peer.label, PeerWord.Cancelled(self, pending.cancellation))
     }
 
     fun tick() {
         val now = clock.steadyMs()
-        if (duties.isEmpty() || now < nextTellAt) return
+        if (pendingById.isEmpty() || now < nextTellAt) return
         nextTellAt = now + timing.peerNewsMs
-        for (duty in duties.values) {
-            if (hasEndedHere(duty.cancellation.id) == true) duty.hasEnded = true
-            if (!duty.hasEnded) tell(duty, now)
+        for (pending in pendingById.values) {
+            if (hasEndedHere(pending.cancellation.id) == true) pending.hasEnded = true
+            if (!pending.hasEnded) tell(pending, now)
         }
     }
 
-    private fun tell(duty: Duty, now: Long) {
+    private fun tell(pending: PendingCancellation, now: Long) {
         for (peer in settings.peers) {
             val present = outlook.lifeOf(peer.label)
-            val knows = present != null && present in duty.acknowledged
+            val knows = present != null && present in pending.acknowledged
             val isLeader = replica.view?.leader?.label == peer.label
             val due = when {
                 // The leader is asked again whether it has ended: only then need nobody else see to it.
-                knows -> isLeader && now - duty.learnedAt > timing.dutyPatienceMs
-                duty.isOwn -> true
+                knows -> isLeader && now - pending.learnedAt > timing.enforceAfterMs
+                pending.isOwn -> true
                 // By the watch all learn of it in time; one that lost the state service, or was started since, doesn't.
-                else -> now - duty.learnedAt > timing.dutyPatienceMs || outlook.isWithoutState(peer.label)
+                else -> now - pending.learnedAt > timing.enforceAfterMs || outlook.isWithoutState(peer.label)
             }
-            if (due) peers.send(peer.label, PeerWord.Cancelled(self, duty.cancellation))
+            if (due) peers.send(peer.label, PeerWord.Cancelled(self, pending.cancellation))
         }
     }
 
@@ -162,9 +167,9 @@
         when (word) {
             is PeerWord.Cancelled -> hearCancelled(word)
             is PeerWord.Acknowledged -> for (item in word.items) {
-                val duty = duties[item.id] ?: continue
-                duty.acknowledged.add(word.sender)
-                if (item.hasEnded && word.sender == replica.view?.leader) duty.hasEnded = true
+                val pending = pendingById[item.id] ?: continue
+                pending.acknowledged.add(word.sender)
+                if (item.hasEnded && word.sender == replica.view?.leader) pending.hasEnded = true
             }
         }
     }
--- a/src/main/kotlin/oxbowlug/core/Command.kt
+++ b/src/main/kotlin/oxbowlug/core/Command.kt
@@ -54,7 +54,7 @@
     val atMs: Long = 0,
     val echo: Echo? = null,
     /** Confirmed a cancellation that the leader hasn't acknowledged. */
-    val owes: Boolean = false,
+    val hasUnacknowledged: Boolean = false,
     /** Answered by the state service within the last moments: it may be confirming cancellations now. */
     val mayConfirm: Boolean = false,
 )
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -110,7 +110,7 @@
 
     fun news(): PeerNews = PeerNews(
         self, replica.view?.epoch ?: 0, replica.view?.leader, seesState(), clock.steadyMs(), deputy.echo(),
-        owes = cancellations.owes(),
+        hasUnacknowledged = cancellations.hasUnacknowledged(),
         mayConfirm = clock.steadyMs() - replica.lastContactMs < timing.confirmsMs,
     )
 
--- a/src/main/kotlin/oxbowlug/core/Knowledge.kt
+++ b/src/main/kotlin/oxbowlug/core/Knowledge.kt
@@ -43,7 +43,7 @@
         word.mayConfirm = news.mayConfirm
         val echo = news.echo
         // It wrote this after it had our word of that time, and had confirmed nothing by then that we don't know.
-        if (!news.owes && echo != null && echo.of == self) word.sureAt = maxOf(word.sureAt, echo.atMs)
+        if (!news.hasUnacknowledged && echo != null && echo.of == self) word.sureAt = maxOf(word.sureAt, echo.atMs)
     }
 
     /** Heard until shortly before it was back, it told what it confirmed: its words came over one connection. */
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -60,13 +60,13 @@
     val cancelPatienceCutMs: Long = (settings.workers.cancelS * 850.0).toLong()
 
     /** Whoever leads has had this long to take a cancellation over. */
-    val dutyPatienceMs: Long = (settings.workers.cancelS * 200.0).toLong()
+    val enforceAfterMs: Long = (settings.workers.cancelS * 200.0).toLong()
 
     /** Those that don't lead act on it themselves one after the other, so that calls aren't spent several times. */
-    val dutyStepMs: Long = (settings.workers.cancelS * 50.0).toLong()
+    val enforceStepMs: Long = (settings.workers.cancelS * 50.0).toLong()
 
     /** The last moment at which those that don't lead return a machine for it, with a cloud call's time left. */
-    val dutyReturnMs: Long = (settings.workers.cancelS * 850.0).toLong()
+    val enforceByReturnMs: Long = (settings.workers.cancelS * 850.0).toLong()
 
     /**
      * For how long after it last surely knew all confirmed cancellations a controller may renew leases: the last of
--- a/src/main/kotlin/oxbowlug/peer/PeerFrames.kt
+++ b/src/main/kotlin/oxbowlug/peer/PeerFrames.kt
@@ -56,7 +56,7 @@
             payload.writeLong(echo.atMs)
             payload.writeLong(echo.renewals)
         }
-        payload.writeByte(if (news.owes) 1 else 0)
+        payload.writeByte(if (news.hasUnacknowledged) 1 else 0)
         payload.writeByte(if (news.mayConfirm) 1 else 0)
         return framed(payload)
     }
@@ -160,9 +160,9 @@
         val atMs = payload.readLong()
         val hasEcho = payload.readByte().toInt() != 0
         val echo = if (hasEcho) Echo(payload.member(), payload.readLong(), payload.readLong()) else null
-        val owes = payload.readByte().toInt() != 0
+        val hasUnacknowledged = payload.readByte().toInt() != 0
         val mayConfirm = payload.readByte().toInt() != 0
-        return PeerNews(sender, epoch, leader, seesState, atMs, echo, owes, mayConfirm)
+        return PeerNews(sender, epoch, leader, seesState, atMs, echo, hasUnacknowledged, mayConfirm)
     }
 
     private fun decodeCancelled(payload: Buffer): PeerWord.Cancelled {
--- a/src/test/kotlin/oxbowlug/peer/PeerFramesTest.kt
+++ b/src/test/kotlin/oxbowlug/peer/PeerFramesTest.kt
@@ -30,7 +30,7 @@
         val told =
             listOf(
                 news, news.copy(leader = null), news.copy(seesState = false), news.copy(atMs = 7, echo = echo),
-                news.copy(owes = true), news.copy(mayConfirm = true),
+                news.copy(hasUnacknowledged = true), news.copy(mayConfirm = true),
             )
         val frames = Buffer()
         for (each in told) frames.writeAll(PeerFrames.encode(each))
