--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -40,7 +40,7 @@
     private val ownWrites = RateBudget(settings.state.writeRps * (1 - LEADER_SHARE))
     private val cloudBudget = RateBudget(settings.cloud.rps * 0.8)
     private val names = Names(self)
-    private val deputy = Deputy(self, settings.zone, clock, timing, replica)
+    private val delegate = RenewalDelegate(self, settings.zone, clock, timing, replica)
     private val outlook = Outlook(settings.peers.size, clock, timing)
     private val cancellations = Cancellations(
         self, settings, clock, timing, replica, outlook, peers, ::hasEnded,
@@ -109,7 +109,7 @@
     private fun seesState() = clock.steadyMs() - replica.lastContactMs < timing.stateAwayMs * 2
 
     fun news(): PeerNews = PeerNews(
-        self, replica.view?.epoch ?: 0, replica.view?.leader, seesState(), clock.steadyMs(), deputy.echo(),
+        self, replica.view?.epoch ?: 0, replica.view?.leader, seesState(), clock.steadyMs(), delegate.echo(),
         hasUnacknowledged = cancellations.hasUnacknowledged(),
         mayConfirm = clock.steadyMs() - replica.lastContactMs < timing.confirmsMs,
     )
@@ -150,8 +150,8 @@
             }
             is Command.HeardPeer -> {
                 outlook.hear(command.news)
-                deputy.hear(command.news)
-                leader?.deputies?.hear(command.news)
+                delegate.hear(command.news)
+                leader?.delegates?.hear(command.news)
                 knowledge.hear(command.news)
                 authority.hearOfEpoch(command.news.epoch, command.news.leader)
             }
@@ -171,7 +171,7 @@
      */
     private fun answerOrWait(waiting: WaitingReport) {
         val answer = onReport(waiting.command.report)
-        if (answer.isFinal && !isLeaderGone() && !mayBeDeputy(answer) || clock.steadyMs() >= waiting.until) {
+        if (answer.isFinal && !isLeaderGone() && !mayBeDelegated(answer) || clock.steadyMs() >= waiting.until) {
             waiting.command.answer(answer)
         } else {
             waitingReports.addLast(waiting)
@@ -188,7 +188,7 @@
     }
 
     /** Sent on to a leader that is out of reach, a worker would lose a third of its lease for nothing. */
-    private fun mayBeDeputy(answer: ReportAnswer) = answer is ReportAnswer.Redirect && deputy.isLosingTouch()
+    private fun mayBeDelegated(answer: ReportAnswer) = answer is ReportAnswer.Redirect && delegate.isLosingTouch()
 
     private fun answerWaiting() {
         repeat(waitingReports.size) { waitingReports.removeFirstOrNull()?.let(::answerOrWait) }
@@ -199,8 +199,8 @@
         val view = replica.view
         if (view != null && report.token > view.token) authority.hearOfEpoch(report.token.value, null)
         if (role is Role.Follower && role.leader == view?.leader) {
-            deputy.renew(report)?.let { return ReportAnswer.Taken(it, replica.cancelledWork(report)) }
-            deputy.named(report)?.let { return ReportAnswer.Redirect(it.label) }
+            delegate.renew(report)?.let { return ReportAnswer.Taken(it, replica.cancelledWork(report)) }
+            delegate.named(report)?.let { return ReportAnswer.Redirect(it.label) }
         }
         val owner = owner(report.machine, role) ?: return ReportAnswer.Unavailable
         // An earlier life of ours led: until the next election nobody does.
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -38,7 +38,7 @@
         view.token, clock, timing, Arrivals(settings, timing.arrivalsMs), rememberedImages, settings.teams,
         replica::dependencyState,
     )
-    val deputies = ZoneDeputies(view, settings, state, clock, timing, replica)
+    val delegates = RenewalDelegates(view, settings, state, clock, timing, replica)
     private val commits = Commits(view, names, settings, state, clock, timing, writeBudget, replica, fleet)
     private val rentals = Rentals(names, settings, cloud, clock, timing, cloudBudget, fleet)
     private val planning = Planning(settings, clock, timing, fleet, rentals, startedAt) { replica.writableFormat }
@@ -103,7 +103,7 @@
 
     fun tick(types: Map<TypeName, MachineType>) {
         val now = clock.steadyMs()
-        deputies.tick(now)
+        delegates.tick(now)
         val hearing = Hearing(fleet.machines.values, timing, startedAt, now)
         val hasRoom by lazy(LazyThreadSafetyMode.NONE) { planning.hasRoomFor(hearing.suspects, types) }
         for (host in fleet.machines.values.toList()) watchOver(host, now, types, hearing) { hasRoom }
@@ -212,7 +212,7 @@
     }
 
     private fun endCancelled(host: Machine, now: Long, hearing: Hearing) {
-        if (deputies.isSurelyOver(host.zone, host.answeredAt ?: now)) fleet.expire(host, now)
+        if (delegates.isSurelyOver(host.zone, host.answeredAt ?: now)) fleet.expire(host, now)
         val patienceMs = if (hearing.isCut(host.zone)) timing.cancelPatienceCutMs else timing.cancelPatienceMs
         for (placed in host.live.values) {
             val cancelledAt = placed.job.cancelledAt ?: continue
--- a/src/main/kotlin/oxbowlug/core/Records.kt
+++ b/src/main/kotlin/oxbowlug/core/Records.kt
@@ -18,7 +18,7 @@
     const val ROSTER = "ox/r/"
     const val VIEW = "ox/r/view"
     const val MEMBERS = "ox/r/m/"
-    const val DEPUTIES = "ox/r/deputies"
+    const val DELEGATES = "ox/r/deputies"
 
     /** Parts of jobs whose records don't fit one value: the job's id, a slash and the part's number. */
     const val PARTS = "ox/p/"
--- a/src/main/kotlin/oxbowlug/core/Deputy.kt
+++ b/src/main/kotlin/oxbowlug/core/RenewalDelegate.kt
@@ -6,7 +6,7 @@
 import oxbowlug.wire.fields
 
 /** Whom the leader with [token] named for each zone, as the state service has it. */
-data class Deputies(val token: Token, val byZone: Map<Zone, Member>, val version: Long) {
+data class DelegateAssignments(val token: Token, val byZone: Map<Zone, Member>, val version: Long) {
     fun encode(): Map<String, Any?> = mapOf(
         "token" to token.value,
         "zones" to byZone.entries.associate { (zone, member) ->
@@ -15,14 +15,14 @@
     )
 
     companion object {
-        fun decode(value: Map<String, Any?>, version: Long): Deputies {
+        fun decode(value: Map<String, Any?>, version: Long): DelegateAssignments {
             val fields = value.fields()
             val zones = fields.map("zones")
             val byZone = zones.keys.associate { zone ->
                 val named = zones.fields().map(zone).fields()
                 Zone(zone) to Member(named.text("label"), named.text("incarnation"))
             }
-            return Deputies(Token(fields.count("token")), byZone, version)
+            return DelegateAssignments(Token(fields.count("token")), byZone, version)
         }
     }
 }
@@ -30,10 +30,10 @@
 /**
  * What a named controller may do while its zone is cut off: renew the leases of the zone's workers with the leader's
  * token, and nothing else. It begins only after it has heard neither the leader nor the state service for
- * [Timing.deputyMs], and ends this as soon as it hears one of them or learns of a newer epoch. Without it all work of
+ * [Timing.delegateAfterMs], and ends this as soon as it hears one of them or learns of a newer epoch. Without it all work of
  * a zone that is cut off for longer than a worker's lease would end, though controllers stand beside it.
  */
-class Deputy(
+class RenewalDelegate(
     private val self: Member,
     private val zone: Zone,
     private val clock: Clock,
@@ -68,15 +68,15 @@
     /** Who answers the workers of this zone instead of the leader, once it is certain that it is cut off. */
     fun named(report: WorkerReport): Member? {
         val view = replica.view ?: return null
-        val deputies = replica.deputies ?: return null
-        val isForUs = deputies.token == view.token && report.zone == zone && report.token <= view.token
-        return if (isForUs && aloneMs() >= timing.deputyMs) deputies.byZone[zone] else null
+        val delegates = replica.delegates ?: return null
+        val isForUs = delegates.token == view.token && report.zone == zone && report.token <= view.token
+        return if (isForUs && aloneMs() >= timing.delegateAfterMs) delegates.byZone[zone] else null
     }
 
     /** Neither the leader nor the state service was heard for a while: it may soon be certain. */
     fun isLosingTouch(): Boolean {
-        val deputies = replica.deputies
-        return deputies != null && zone in deputies.byZone && aloneMs() in timing.deputyMs / 2 until timing.deputyMs
+        val delegates = replica.delegates
+        return delegates != null && zone in delegates.byZone && aloneMs() in timing.delegateAfterMs / 2 until timing.delegateAfterMs
     }
 
     /** The token with which this worker's lease is renewed, or null if that isn't ours to do. */
--- a/src/main/kotlin/oxbowlug/core/ZoneDeputies.kt
+++ b/src/main/kotlin/oxbowlug/core/RenewalDelegates.kt
@@ -8,10 +8,10 @@
 import oxbowlug.wire.Zone
 
 /**
- * The leader's side of [Deputy]: names one controller a zone, and knows until when each of them has surely renewed
+ * The leader's side of [RenewalDelegate]: names one controller a zone, and knows until when each of them has surely renewed
  * nothing. Only such a span proves that a silent worker's lease is over, since the deputy may have renewed it.
  */
-class ZoneDeputies(
+class RenewalDelegates(
     private val view: View,
     private val settings: Settings,
     private val state: StatePort,
@@ -38,7 +38,7 @@
         val members = replica.members()
         for (zone in settings.zones) name(zone, members)
         val wanted = named.mapValues { it.value.member }
-        val stored = replica.deputies
+        val stored = replica.delegates
         if (wanted.isEmpty() || stored != null && stored.token == view.token && stored.byZone == wanted) return
         write(wanted, stored)
     }
@@ -56,10 +56,10 @@
         named[zone] = Named(next)
     }
 
-    private fun write(wanted: Map<Zone, Member>, stored: Deputies?) {
+    private fun write(wanted: Map<Zone, Member>, stored: DelegateAssignments?) {
         writing = true
-        val conditions = listOf(Condition(Keys.VIEW, view.version), Condition(Keys.DEPUTIES, stored?.version ?: 0))
-        val put = Change.Put(Keys.DEPUTIES, Deputies(view.token, wanted, 0).encode())
+        val conditions = listOf(Condition(Keys.VIEW, view.version), Condition(Keys.DELEGATES, stored?.version ?: 0))
+        val put = Change.Put(Keys.DELEGATES, DelegateAssignments(view.token, wanted, 0).encode())
         state.commit(Transaction(conditions, listOf(put))) {
             writing = false
             // The watch brings what is stored; until it does, the write is only tried again slowly.
@@ -76,7 +76,7 @@
             one.clearFrom = clock.steadyMs()
         }
         // It got that word of ours at that time or later, and doesn't begin until long after.
-        one.clearTo = maxOf(one.clearTo, echo.atMs + timing.deputyClearMs)
+        one.clearTo = maxOf(one.clearTo, echo.atMs + timing.delegateClearMs)
     }
 
     /** Whether a lease that we last renewed at [answeredAt] is over, whatever the zone's deputy did. */
--- a/src/main/kotlin/oxbowlug/core/Replica.kt
+++ b/src/main/kotlin/oxbowlug/core/Replica.kt
@@ -61,7 +61,7 @@
         private set
     var view: View? = null
         private set
-    var deputies: Deputies? = null
+    var delegates: DelegateAssignments? = null
         private set
 
     /** By the marker in the copy, which is never taken back. */
@@ -252,7 +252,9 @@
         try {
             when {
                 event.key == Keys.VIEW -> applyView(event)
-                event.key == Keys.DEPUTIES -> event.value?.let { deputies = Deputies.decode(it, event.version) }
+                event.key == Keys.DELEGATES -> event.value?.let {
+                    delegates = DelegateAssignments.decode(it, event.version)
+                }
                 event.key == Keys.FORMAT -> applyMarker(event)
                 event.key.startsWith(Keys.JOBS) -> applyJob(event)
                 event.key.startsWith(Keys.PARTS) -> applyPart(event)
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -46,10 +46,10 @@
     val workersLostMs: Long = (workerLeaseMs * 0.35).toLong()
 
     /** Alone for this long, a deputy begins: workers that lost the leader need as long to come to it. */
-    val deputyMs: Long = (workerLeaseMs * 0.35).toLong()
+    val delegateAfterMs: Long = (workerLeaseMs * 0.35).toLong()
 
     /** For this long after it got a word of the leader, its deputy has surely not begun. */
-    val deputyClearMs: Long = (deputyMs * (1.0 - drift)).toLong() - 2 * CLOCK_STEP_MS
+    val delegateClearMs: Long = (delegateAfterMs * (1.0 - drift)).toLong() - 2 * CLOCK_STEP_MS
 
     val cancelMs: Long = (settings.workers.cancelS * 1000.0).toLong()
 
--- a/src/test/kotlin/oxbowlug/core/ProductionDataTest.kt
+++ b/src/test/kotlin/oxbowlug/core/ProductionDataTest.kt
@@ -71,9 +71,9 @@
         val view = View.decode(Cbor.decode(bytes("view")), 3)
         assertEquals(View(7, oxbowlug.wire.Token(6), member, 3), view)
         assertArrayEquals(bytes("view"), Cbor.encode(view.encode()))
-        val deputies = Deputies.decode(Cbor.decode(bytes("deputies")), 3)
-        assertEquals(mapOf(Zone("a") to member), deputies.byZone)
-        assertArrayEquals(bytes("deputies"), Cbor.encode(deputies.encode()))
+        val delegates = DelegateAssignments.decode(Cbor.decode(bytes("deputies")), 3)
+        assertEquals(mapOf(Zone("a") to member), delegates.byZone)
+        assertArrayEquals(bytes("deputies"), Cbor.encode(delegates.encode()))
         assertEquals(mapOf("label" to "n0"), Cbor.decode(bytes("member")))
     }
 
--- a/src/test/kotlin/oxbowlug/core/DeputyTest.kt
+++ b/src/test/kotlin/oxbowlug/core/RenewalDelegateTest.kt
@@ -19,12 +19,12 @@
 import kotlin.random.Random
 
 /** When a lease is surely over although a deputy may have renewed it, and when a deputy may renew one. */
-class DeputyTest {
+class RenewalDelegateTest {
     private val settings = SettingsFile.parse(SettingsTexts.valid)
     private val timing = Timing(settings, Random(1))
     private val store = SimStore(World(1))
     private val leader = Member("n0", "x")
-    private val deputy = Member("n1", "y")
+    private val delegate = Member("n1", "y")
     private val zone = Zone("b")
     private var isAway = false
 
@@ -72,20 +72,20 @@
 
     private fun replica(): Replica {
         put(Keys.member(leader), emptyMap())
-        put(Keys.member(deputy), emptyMap())
+        put(Keys.member(delegate), emptyMap())
         put(Keys.VIEW, View(3, Token(3), leader, 0).encode())
         return Replica(Port(), clock, timing, Deaf).apply { tick() }
     }
 
-    private fun named(): ZoneDeputies {
+    private fun named(): RenewalDelegates {
         val replica = replica()
         val view = replica.view ?: error("the view was read")
-        return ZoneDeputies(view, settings, Port(), clock, timing, replica).apply { tick(clock.now) }
+        return RenewalDelegates(view, settings, Port(), clock, timing, replica).apply { tick(clock.now) }
     }
 
     /** A word of the deputy: that it last heard the leader at [heardAt], and how much it has renewed. */
     private fun word(heardAt: Long, renewals: Long = 0) =
-        PeerNews(deputy, 3, leader, seesState = true, atMs = 0, echo = Echo(leader, heardAt, renewals))
+        PeerNews(delegate, 3, leader, seesState = true, atMs = 0, echo = Echo(leader, heardAt, renewals))
 
     @Test
     fun `a lease is surely over once the deputy's word covers all of it`() {
@@ -103,15 +103,15 @@
             Case("it stands still", zone, null) { since, now -> word(now - since) },
             Case("it renewed until later", zone, expiry + 3_000) { since, now -> word(now - 5, minOf(since, 3_000)) },
             Case("an earlier life", zone, null) { _, now -> word(now - 5).copy(sender = Member("n1", "old")) },
-            Case("of another leader", zone, null) { _, now -> word(now - 5).copy(echo = Echo(deputy, now, 0)) },
+            Case("of another leader", zone, null) { _, now -> word(now - 5).copy(echo = Echo(delegate, now, 0)) },
         )
         for (case in cases) {
-            val deputies = named()
+            val delegates = named()
             val answeredAt = clock.now
             var overAt: Long? = null
             while (overAt == null && clock.now < answeredAt + expiry * 3) {
-                case.said(clock.now - answeredAt, clock.now)?.let(deputies::hear)
-                if (deputies.isSurelyOver(case.zone, answeredAt)) overAt = clock.now - answeredAt
+                case.said(clock.now - answeredAt, clock.now)?.let(delegates::hear)
+                if (delegates.isSurelyOver(case.zone, answeredAt)) overAt = clock.now - answeredAt
                 clock.now += 100
             }
             assertEquals(case.overAfterMs?.let { (it + 99) / 100 * 100 }, overAt, case.name)
@@ -121,37 +121,37 @@
     @Test
     fun `one that is gone stays named until a later life of it is there`() {
         val replica = replica()
-        val deputies = ZoneDeputies(replica.view ?: error("read"), settings, Port(), clock, timing, replica)
-        deputies.tick(clock.now)
-        assertEquals(deputy, Deputies.decode(store.entry(Keys.DEPUTIES)?.value.orEmpty(), 1).byZone[zone])
-        store.commit(Transaction(emptyList(), listOf(Change.Delete(Keys.member(deputy)))))
+        val delegates = RenewalDelegates(replica.view ?: error("read"), settings, Port(), clock, timing, replica)
+        delegates.tick(clock.now)
+        assertEquals(delegate, DelegateAssignments.decode(store.entry(Keys.DELEGATES)?.value.orEmpty(), 1).byZone[zone])
+        store.commit(Transaction(emptyList(), listOf(Change.Delete(Keys.member(delegate)))))
         put(Keys.member(Member("n1", "z")), emptyMap())
         repeat(2) {
             clock.now += 60_000
             replica.catchUp {}
-            deputies.tick(clock.now)
+            delegates.tick(clock.now)
         }
-        assertEquals(Member("n1", "z"), Deputies.decode(store.entry(Keys.DEPUTIES)?.value.orEmpty(), 1).byZone[zone])
-        assertFalse(deputies.isSurelyOver(zone, 0), "the former may have renewed something to its end")
+        assertEquals(Member("n1", "z"), DelegateAssignments.decode(store.entry(Keys.DELEGATES)?.value.orEmpty(), 1).byZone[zone])
+        assertFalse(delegates.isSurelyOver(zone, 0), "the former may have renewed something to its end")
     }
 
     @Test
     fun `a deputy renews only while it hears neither the leader nor the state service`() {
-        put(Keys.DEPUTIES, Deputies(Token(3), mapOf(zone to deputy), 0).encode())
+        put(Keys.DELEGATES, DelegateAssignments(Token(3), mapOf(zone to delegate), 0).encode())
         val replica = replica()
-        val here = Deputy(deputy, zone, clock, timing, replica)
+        val here = RenewalDelegate(delegate, zone, clock, timing, replica)
         val report = report(zone, 3)
         isAway = true
         here.hear(PeerNews(leader, 3, leader, seesState = true, atMs = 7))
         assertNull(here.renew(report), "just heard")
-        clock.now += timing.deputyMs
+        clock.now += timing.delegateAfterMs
         assertEquals(Token(3), here.renew(report))
         assertNull(here.renew(report(Zone("a"), 3)), "of another zone")
         assertNull(here.renew(report(zone, 4)), "it knows a newer token")
         assertEquals(Echo(leader, 7, 1), here.echo())
         here.hear(PeerNews(leader, 3, leader, seesState = true, atMs = 8))
         assertNull(here.renew(report), "the leader is heard again")
-        clock.now += timing.deputyMs
+        clock.now += timing.delegateAfterMs
         isAway = false
         replica.catchUp {}
         assertNull(here.renew(report), "the state service answers")
