--- a/src/main/kotlin/oxbowlug/core/Authority.kt
+++ b/src/main/kotlin/oxbowlug/core/Authority.kt
@@ -15,7 +15,7 @@
      * Led when it last heard from the state service, which it no longer reaches. It goes on answering reports, so
      * that running replicas outlive an outage, but starts nothing, and ends this when it learns of a newer epoch.
      */
-    data class Caretaker(val view: View) : Role
+    data class RenewingOnly(val view: View) : Role
 
     /** Another one leads, as far as known. */
     data class Follower(val leader: Member) : Role
@@ -55,7 +55,7 @@
             return if (leader == null || leader == self) Role.Unknown else Role.Follower(leader)
         }
         if (view.leader != self) return Role.Follower(view.leader)
-        return if (leaseBelieved()) Role.Leader(view) else Role.Caretaker(view)
+        return if (leaseBelieved()) Role.Leader(view) else Role.RenewingOnly(view)
     }
 
     private fun leaseBelieved(): Boolean = registered && clock.steadyMs() < believedUntil
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -116,7 +116,7 @@
 
     /** Whether all attempts of a job are proven gone, as far as this controller has it in its account. */
     private fun hasEnded(id: JobId): Boolean? = when (authority.role()) {
-        is Role.Leader, is Role.Caretaker -> leader?.fleet?.jobs?.get(id)?.live?.isEmpty()
+        is Role.Leader, is Role.RenewingOnly -> leader?.fleet?.jobs?.get(id)?.live?.isEmpty()
         is Role.Follower, Role.Unknown -> null
     }
 
@@ -133,7 +133,7 @@
         role: Role
     ): Member? = when (role) {
         is Role.Leader -> role.view.leader
-        is Role.Caretaker -> role.view.leader
+        is Role.RenewingOnly -> role.view.leader
         is Role.Follower -> role.leader
         Role.Unknown -> null
     }
@@ -208,7 +208,7 @@
         if (owner != self) return ReportAnswer.Redirect(owner.label)
         val leading = leading() ?: return answerEarly(report, role)
         if (report.token > leading.view.token) return ReportAnswer.Unavailable
-        if (role is Role.Caretaker && !knowledge.isSure()) return ReportAnswer.Unavailable
+        if (role is Role.RenewingOnly && !knowledge.isSure()) return ReportAnswer.Unavailable
         val commands = leading.onReport(report, mayDecide = role is Role.Leader) ?: return ReportAnswer.Redirect(null)
         return ReportAnswer.Taken(leading.view.token, commands)
     }
@@ -234,8 +234,8 @@
         formatUpgrade.tick(replica.view?.takeIf { isLeading })
         val role = authority.role()
         val leading = leading()
-        if (leading == null || role !is Role.Leader && role !is Role.Caretaker) return cancellationEnforcer.tick()
-        if (role is Role.Caretaker) return leading.takeCare()
+        if (leading == null || role !is Role.Leader && role !is Role.RenewingOnly) return cancellationEnforcer.tick()
+        if (role is Role.RenewingOnly) return leading.endCancelledWork()
         leading.tick(types)
         // Cut from the workers alone, a leader would send them all to itself until their leases are over.
         if (leading.hasLostItsWorkers(now) && replica.memberCount() > 1) {
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -119,7 +119,7 @@
      * What a leader without the state service still has to do: end cancelled work, by its machines' return if need be.
      * It decides nothing else.
      */
-    fun takeCare() {
+    fun endCancelledWork() {
         val now = clock.steadyMs()
         val hearing = Hearing(fleet.machines.values, timing, startedAt, now)
         for (host in fleet.machines.values.toList()) endCancelled(host, now, hearing)
--- a/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
+++ b/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
@@ -202,7 +202,7 @@
             assertTrue(first.role !is Role.Leader || second.role !is Role.Leader, "two leaders at ${world.nowMs}")
         }
         assertTrue(second.role is Role.Leader)
-        assertTrue(first.role is Role.Caretaker)
+        assertTrue(first.role is Role.RenewingOnly)
         first.hears(2, Member("n1", "y"))
         assertEquals(Role.Follower(Member("n1", "y")), first.role, "it sends its workers on")
     }
