--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -42,8 +42,8 @@
     private val commits = Commits(view, names, settings, state, clock, timing, writeBudget, replica, fleet)
     private val rentals = Rentals(names, settings, cloud, clock, timing, cloudBudget, fleet)
     private val planning = Planning(settings, clock, timing, fleet, rentals, startedAt) { replica.writableFormat }
-    private val tokenSpread =
-        TokenSpread(fleet, workers, clock, timing, startedAt, settings.limits.maxSockets / SPREAD_SHARE, mayBeAnswered)
+    private val tokenPropagation =
+        TokenPropagation(fleet, workers, clock, timing, startedAt, settings.limits.maxSockets / SPREAD_SHARE, mayBeAnswered)
     private var nextPlanAt = 0L
     private var nextRoundAt = 0L
     private var nextMoveAt = startedAt + (settings.policy.replanS * 1000).toLong()
@@ -108,7 +108,7 @@
         val hasRoom by lazy(LazyThreadSafetyMode.NONE) { planning.hasRoomFor(hearing.suspects, types) }
         for (host in fleet.machines.values.toList()) watchOver(host, now, types, hearing) { hasRoom }
         fleet.sweep()
-        tokenSpread.tick(now)
+        tokenPropagation.tick(now)
         rentals.tick(types)
         if (types.isNotEmpty() && (now >= nextRoundAt || (fleet.planWanted && now >= nextPlanAt))) plan(types, now)
         flush(mayDecide = true)
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -136,7 +136,7 @@
      * Workers of a former leader that has ended find the next one sooner than this, and the former one is back and
      * heard; those that haven't come by then may be answered by it still.
      */
-    val spreadAfterMs: Long = (workerLeaseMs * 0.5).toLong()
+    val propagateTokenAfterMs: Long = (workerLeaseMs * 0.5).toLong()
 
     /** How often controllers tell one another how they are. */
     val peerNewsMs: Long = workerLeaseRawMs / 20
--- a/src/main/kotlin/oxbowlug/core/TokenSpread.kt
+++ b/src/main/kotlin/oxbowlug/core/TokenPropagation.kt
@@ -8,7 +8,7 @@
  * machines that it expects and doesn't hear. The worker's next report then shows the token to the earlier leader,
  * which steps down. This renews no lease and proves nothing: the worker has to report here for that.
  */
-class TokenSpread(
+class TokenPropagation(
     private val fleet: Fleet,
     private val workers: WorkerPort,
     private val clock: Clock,
@@ -23,10 +23,10 @@
     private var nextRoundAt = 0L
 
     fun tick(now: Long) {
-        if (now - startedAt < timing.spreadAfterMs || now < nextRoundAt || !mayBeAnswered()) return
+        if (now - startedAt < timing.propagateTokenAfterMs || now < nextRoundAt || !mayBeAnswered()) return
         nextRoundAt = now + timing.peerNewsMs
         // All of them at once would take the time that those who report need.
-        var left = (fleet.machines.size * timing.peerNewsMs / timing.spreadAfterMs + 1).toInt()
+        var left = (fleet.machines.size * timing.peerNewsMs / timing.propagateTokenAfterMs + 1).toInt()
         for (host in fleet.machines.values) {
             if (left == 0 || inFlight >= mostAtOnce) return
             if (!isMissing(host, now) || now < (nextAt[host] ?: 0)) continue
