--- a/src/main/kotlin/oxbowlug/core/CancellationEnforcer.kt
+++ b/src/main/kotlin/oxbowlug/core/CancellationEnforcer.kt
@@ -22,7 +22,7 @@
     private val timing: Timing,
     private val replica: Replica,
     private val cancellations: Cancellations,
-    private val outlook: Outlook,
+    private val peerHealth: PeerHealth,
     private val cloud: CloudPort,
     private val workers: WorkerPort,
     private val budget: RateBudget,
@@ -53,7 +53,7 @@
     /** The leader knows of it and is heard: it has until the last moment. */
     private fun isInGoodHands(pending: Cancellations.PendingCancellation): Boolean {
         val leader = replica.view?.leader ?: return false
-        return leader in pending.acknowledged && outlook.lifeOf(leader.label) == leader && outlook.isHeard(leader.label)
+        return leader in pending.acknowledged && peerHealth.lifeOf(leader.label) == leader && peerHealth.isHeard(leader.label)
     }
 
     fun tick() {
--- a/src/main/kotlin/oxbowlug/core/Cancellations.kt
+++ b/src/main/kotlin/oxbowlug/core/Cancellations.kt
@@ -43,7 +43,7 @@
     private val clock: Clock,
     private val timing: Timing,
     private val replica: Replica,
-    private val outlook: Outlook,
+    private val peerHealth: PeerHealth,
     private val peers: PeerPort,
     /** What the leader here, if there is one, knows of the job's attempts; null: not its affair, or not known. */
     private val hasEndedHere: (JobId) -> Boolean?,
@@ -149,7 +149,7 @@
 
     private fun tell(pending: PendingCancellation, now: Long) {
         for (peer in settings.peers) {
-            val present = outlook.lifeOf(peer.label)
+            val present = peerHealth.lifeOf(peer.label)
             val knows = present != null && present in pending.acknowledged
             val isLeader = replica.view?.leader?.label == peer.label
             val due = when {
@@ -157,7 +157,7 @@
                 knows -> isLeader && now - pending.learnedAt > timing.enforceAfterMs
                 pending.isOwn -> true
                 // By the watch all learn of it in time; one that lost the state service, or was started since, doesn't.
-                else -> now - pending.learnedAt > timing.enforceAfterMs || outlook.isWithoutState(peer.label)
+                else -> now - pending.learnedAt > timing.enforceAfterMs || peerHealth.isWithoutState(peer.label)
             }
             if (due) peers.send(peer.label, PeerWord.Cancelled(self, pending.cancellation))
         }
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -41,12 +41,12 @@
     private val cloudBudget = RateBudget(settings.cloud.rps * 0.8)
     private val names = Names(self)
     private val delegate = RenewalDelegate(self, settings.zone, clock, timing, replica)
-    private val outlook = Outlook(settings.peers.size, clock, timing)
+    private val peerHealth = PeerHealth(settings.peers.size, clock, timing)
     private val cancellations = Cancellations(
-        self, settings, clock, timing, replica, outlook, peers, ::hasEnded,
+        self, settings, clock, timing, replica, peerHealth, peers, ::hasEnded,
     )
     private val cancellationEnforcer = CancellationEnforcer(
-        self, settings, clock, timing, replica, cancellations, outlook, cloud, workers, cloudBudget,
+        self, settings, clock, timing, replica, cancellations, peerHealth, cloud, workers, cloudBudget,
     )
     private val knowledge = Knowledge(self, settings, clock, timing, replica)
     private val jobRequests = JobRequests(
@@ -102,7 +102,7 @@
     }
 
     /** Whether users and workers can be served here, or at least no worse than elsewhere. */
-    fun isHealthy(): Boolean = replica.synced && types.isNotEmpty() && (seesState() || !outlook.someoneElseSeesState())
+    fun isHealthy(): Boolean = replica.synced && types.isNotEmpty() && (seesState() || !peerHealth.someoneElseSeesState())
 
     private fun isOurView(): Boolean = replica.view?.leader == self
 
@@ -149,7 +149,7 @@
                 answerOrWait(WaitingReport(command, clock.steadyMs() + timing.reportWaitMs))
             }
             is Command.HeardPeer -> {
-                outlook.hear(command.news)
+                peerHealth.hear(command.news)
                 delegate.hear(command.news)
                 leader?.delegates?.hear(command.news)
                 knowledge.hear(command.news)
@@ -267,10 +267,10 @@
     /** One that has a later life has ended, and one that is heard hears of its successor as well. */
     private fun mayFormerLeaderAnswer(): Boolean {
         val former = replica.formerLeader ?: return false
-        val life = outlook.lifeOf(former.label)
+        val life = peerHealth.lifeOf(former.label)
         val hasEnded = former.label == self.label || life != null && life != former ||
             replica.members().any { it.label == former.label && it != former }
-        return !hasEnded && !outlook.isHeard(former.label)
+        return !hasEnded && !peerHealth.isHeard(former.label)
     }
 
     private fun fetchTypes() {
--- a/src/test/kotlin/oxbowlug/core/OutlookTest.kt
+++ b/src/test/kotlin/oxbowlug/core/PeerHealthTest.kt
@@ -5,7 +5,7 @@
 import oxbowlug.config.SettingsFile
 import kotlin.random.Random
 
-class OutlookTest {
+class PeerHealthTest {
     @Test
     fun `a controller without the state service steps aside only for one that has it`() {
         class Case(
@@ -30,10 +30,10 @@
                 override fun wallMs() = now
             }
             val timing = Timing(SettingsFile.parse(SettingsTexts.valid), Random(1))
-            val outlook = Outlook(case.peers, clock, timing)
-            for ((label, sees) in case.heard) outlook.hear(PeerNews(Member(label, "x"), 1, null, sees))
+            val peerHealth = PeerHealth(case.peers, clock, timing)
+            for ((label, sees) in case.heard) peerHealth.hear(PeerNews(Member(label, "x"), 1, null, sees))
             now += case.later
-            assertEquals(case.other, outlook.someoneElseSeesState(), case.name)
+            assertEquals(case.other, peerHealth.someoneElseSeesState(), case.name)
         }
     }
 }
