--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -104,9 +104,9 @@
     fun tick(types: Map<TypeName, MachineType>) {
         val now = clock.steadyMs()
         delegates.tick(now)
-        val hearing = Hearing(fleet.machines.values, timing, startedAt, now)
-        val hasRoom by lazy(LazyThreadSafetyMode.NONE) { planning.hasRoomFor(hearing.suspects, types) }
-        for (host in fleet.machines.values.toList()) watchOver(host, now, types, hearing) { hasRoom }
+        val heartbeats = HeartbeatCounts(fleet.machines.values, timing, startedAt, now)
+        val hasRoom by lazy(LazyThreadSafetyMode.NONE) { planning.hasRoomFor(heartbeats.suspects, types) }
+        for (host in fleet.machines.values.toList()) watchOver(host, now, types, heartbeats) { hasRoom }
         fleet.sweep()
         tokenPropagation.tick(now)
         rentals.tick(types)
@@ -121,8 +121,8 @@
      */
     fun endCancelledWork() {
         val now = clock.steadyMs()
-        val hearing = Hearing(fleet.machines.values, timing, startedAt, now)
-        for (host in fleet.machines.values.toList()) endCancelled(host, now, hearing)
+        val heartbeats = HeartbeatCounts(fleet.machines.values, timing, startedAt, now)
+        for (host in fleet.machines.values.toList()) endCancelled(host, now, heartbeats)
         fleet.sweep()
         rentals.returnDue()
         flush(mayDecide = false)
@@ -162,10 +162,10 @@
         host: Machine,
         now: Long,
         types: Map<TypeName, MachineType>,
-        hearing: Hearing,
+        heartbeats: HeartbeatCounts,
         hasRoom: () -> Boolean,
     ) {
-        endCancelled(host, now, hearing)
+        endCancelled(host, now, heartbeats)
         drain(host, now)
         if (host.returning) return
         // Where no other can be had, a machine that may go on is worth more than the rent of its silence.
@@ -173,10 +173,10 @@
         val silentMs = (settings.policy.silentLeases * timing.workerLeaseRawMs).toLong() * patience
         val lastHeard = host.heardAt ?: maxOf(startedAt, host.knownSince)
         val expected = host.heardAt != null || host.listed == MachineState.RUNNING
-        if (expected && now - lastHeard > silentMs && hearing.mostAreHeard(host.zone)) {
+        if (expected && now - lastHeard > silentMs && heartbeats.mostAreHeard(host.zone)) {
             rentals.scheduleReturn(host, "silent")
         }
-        if (isWorthGivingUp(host, now, types) && !hearing.isCut(host.zone) &&
+        if (isWorthGivingUp(host, now, types) && !heartbeats.isCut(host.zone) &&
             (!rentals.isScarce(host, now) || hasRoom())
         ) {
             rentals.scheduleReturn(host, "silent, and its work is worth more")
@@ -211,9 +211,9 @@
         }
     }
 
-    private fun endCancelled(host: Machine, now: Long, hearing: Hearing) {
+    private fun endCancelled(host: Machine, now: Long, heartbeats: HeartbeatCounts) {
         if (delegates.isSurelyOver(host.zone, host.answeredAt ?: now)) fleet.expire(host, now)
-        val patienceMs = if (hearing.isCut(host.zone)) timing.cancelPatienceCutMs else timing.cancelPatienceMs
+        val patienceMs = if (heartbeats.isCut(host.zone)) timing.cancelPatienceCutMs else timing.cancelPatienceMs
         for (placed in host.live.values) {
             val cancelledAt = placed.job.cancelledAt ?: continue
             // A cancelled task that we can't see ended in time is ended with its machine.
--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -326,9 +326,9 @@
                     heardAt = ago?.let { clock.now - it }
                 }
             }
-            val hearing = Hearing(hosts, timing, clock.now - silent, clock.now)
-            assertEquals(case.isCut, hearing.isCut(Zone("a")), case.name)
-            assertEquals(case.suspects, hearing.suspects.size, case.name)
+            val heartbeats = HeartbeatCounts(hosts, timing, clock.now - silent, clock.now)
+            assertEquals(case.isCut, heartbeats.isCut(Zone("a")), case.name)
+            assertEquals(case.suspects, heartbeats.suspects.size, case.name)
         }
     }
 
