--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -48,7 +48,7 @@
     private val cancellationEnforcer = CancellationEnforcer(
         self, settings, clock, timing, replica, cancellations, peerHealth, cloud, workers, cloudBudget,
     )
-    private val knowledge = Knowledge(self, settings, clock, timing, replica)
+    private val freshness = CancellationFreshness(self, settings, clock, timing, replica)
     private val jobRequests = JobRequests(
         names, settings, state, clock, timing, replica, ownWrites, meters, cancellations::confirmed,
         cancellations::told,
@@ -152,7 +152,7 @@
                 peerHealth.hear(command.news)
                 delegate.hear(command.news)
                 leader?.delegates?.hear(command.news)
-                knowledge.hear(command.news)
+                freshness.hear(command.news)
                 authority.hearOfEpoch(command.news.epoch, command.news.leader)
             }
             is Command.HeardWord -> cancellations.hear(command.word)
@@ -208,7 +208,7 @@
         if (owner != self) return ReportAnswer.Redirect(owner.label)
         val leading = leading() ?: return answerEarly(report, role)
         if (report.token > leading.view.token) return ReportAnswer.Unavailable
-        if (role is Role.RenewingOnly && !knowledge.isSure()) return ReportAnswer.Unavailable
+        if (role is Role.RenewingOnly && !freshness.isSure()) return ReportAnswer.Unavailable
         val commands = leading.onReport(report, mayDecide = role is Role.Leader) ?: return ReportAnswer.Redirect(null)
         return ReportAnswer.Taken(leading.view.token, commands)
     }
--- a/src/main/kotlin/oxbowlug/core/RenewalDelegate.kt
+++ b/src/main/kotlin/oxbowlug/core/RenewalDelegate.kt
@@ -51,7 +51,7 @@
         val present = heard
         // Held packets come in order, but over several connections: an older word must not look like a new one.
         if (present != null && present.leader == news.sender && news.atMs < present.itsMs) return
-        // One that was started in an outage knows no view yet, but its word is needed as much ([Knowledge]).
+        // One that was started in an outage knows no view yet, but its word is needed as much ([CancellationFreshness]).
         val leader = replica.view?.leader ?: news.leader
         if (news.sender == leader) heard = Heard(news.sender, news.atMs, clock.steadyMs())
     }
