--- a/src/main/kotlin/oxbowlug/cli/Service.kt
+++ b/src/main/kotlin/oxbowlug/cli/Service.kt
@@ -70,11 +70,11 @@
         val workers = WorkerClient(HttpCaller(vertx, 1, commandIdleS), scope, leaseMs / 5, settle)
         val random = Random(seed())
         val self = Member(settings.label, random.nextLong().toULong().toString(36))
-        val news = { core.news() }
+        val heartbeat = { core.heartbeat() }
         val images = { core.images() }
-        val peers = PeerLink(vertx, settings, Timing(settings, random).peerNewsMs, news, images) { message ->
+        val peers = PeerLink(vertx, settings, Timing(settings, random).peerHeartbeatMs, heartbeat, images) { message ->
             when (message) {
-                is PeerMessage.News -> core.offer(Command.HeardPeer(message.news))
+                is PeerMessage.Heartbeat -> core.offer(Command.PeerHeartbeatReceived(message.heartbeat))
                 is PeerMessage.Word -> core.offer(Command.HeardWord(message.word))
                 is PeerMessage.Images -> core.offer(Command.HeardImages(message.images, message.isFirst))
             }
--- a/src/main/kotlin/oxbowlug/core/CancellationFreshness.kt
+++ b/src/main/kotlin/oxbowlug/core/CancellationFreshness.kt
@@ -31,19 +31,19 @@
     /** Ended after a silence in which they may have confirmed something; the latest moment of doubt by label. */
     private val doubts = HashMap<String, Long>()
 
-    fun hear(news: PeerNews) {
+    fun hear(heartbeat: PeerHeartbeat) {
         val now = clock.steadyMs()
-        val label = news.sender.label
+        val label = heartbeat.sender.label
         val present = words[label]
-        if (present != null && present.life == news.sender && news.atMs < present.itsMs) return
-        val word = if (present?.life == news.sender) present else Word(news.sender).also { words[label] = it }
+        if (present != null && present.life == heartbeat.sender && heartbeat.atMs < present.itsMs) return
+        val word = if (present?.life == heartbeat.sender) present else Word(heartbeat.sender).also { words[label] = it }
         if (present != null && word !== present) ended(label, present, now)
         word.heardAt = now
-        word.itsMs = news.atMs
-        word.mayConfirm = news.mayConfirm
-        val echo = news.echo
+        word.itsMs = heartbeat.atMs
+        word.mayConfirm = heartbeat.mayConfirm
+        val echo = heartbeat.echo
         // It wrote this after it had our word of that time, and had confirmed nothing by then that we don't know.
-        if (!news.hasUnacknowledged && echo != null && echo.of == self) word.sureAt = maxOf(word.sureAt, echo.atMs)
+        if (!heartbeat.hasUnacknowledged && echo != null && echo.of == self) word.sureAt = maxOf(word.sureAt, echo.atMs)
     }
 
     /** Heard until shortly before it was back, it told what it confirmed: its words came over one connection. */
--- a/src/main/kotlin/oxbowlug/core/Cancellations.kt
+++ b/src/main/kotlin/oxbowlug/core/Cancellations.kt
@@ -140,7 +140,7 @@
     fun tick() {
         val now = clock.steadyMs()
         if (pendingById.isEmpty() || now < nextTellAt) return
-        nextTellAt = now + timing.peerNewsMs
+        nextTellAt = now + timing.peerHeartbeatMs
         for (pending in pendingById.values) {
             if (hasEndedHere(pending.cancellation.id) == true) pending.hasEnded = true
             if (!pending.hasEnded) tell(pending, now)
--- a/src/main/kotlin/oxbowlug/core/Command.kt
+++ b/src/main/kotlin/oxbowlug/core/Command.kt
@@ -21,7 +21,7 @@
 
     class Report(val report: WorkerReport, val answer: (ReportAnswer) -> Unit) : Command
 
-    class HeardPeer(val news: PeerNews) : Command
+    class PeerHeartbeatReceived(val heartbeat: PeerHeartbeat) : Command
 
     class HeardWord(val word: PeerWord) : Command
 
@@ -45,14 +45,14 @@
  * What controllers tell one another: who they are, the newest view that they know, and whether the state service
  * answers them.
  */
-data class PeerNews(
+data class PeerHeartbeat(
     val sender: Member,
     val epoch: Long,
     val leader: Member?,
     val seesState: Boolean,
     /** The sender's steady clock. */
     val atMs: Long = 0,
-    val echo: Echo? = null,
+    val echo: HeartbeatEcho? = null,
     /** Confirmed a cancellation that the leader hasn't acknowledged. */
     val hasUnacknowledged: Boolean = false,
     /** Answered by the state service within the last moments: it may be confirming cancellations now. */
@@ -60,4 +60,4 @@
 )
 
 /** The newest word of the leader [of] that the sender had heard, by that one's clock, and its renewals as a deputy. */
-data class Echo(val of: Member, val atMs: Long, val renewals: Long)
+data class HeartbeatEcho(val of: Member, val atMs: Long, val renewals: Long)
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -108,7 +108,7 @@
 
     private fun seesState() = clock.steadyMs() - replica.lastContactMs < timing.stateAwayMs * 2
 
-    fun news(): PeerNews = PeerNews(
+    fun heartbeat(): PeerHeartbeat = PeerHeartbeat(
         self, replica.view?.epoch ?: 0, replica.view?.leader, seesState(), clock.steadyMs(), delegate.echo(),
         hasUnacknowledged = cancellations.hasUnacknowledged(),
         mayConfirm = clock.steadyMs() - replica.lastContactMs < timing.confirmsMs,
@@ -148,12 +148,12 @@
                 load.reported()
                 answerOrWait(WaitingReport(command, clock.steadyMs() + timing.reportWaitMs))
             }
-            is Command.HeardPeer -> {
-                peerHealth.hear(command.news)
-                delegate.hear(command.news)
-                leader?.delegates?.hear(command.news)
-                freshness.hear(command.news)
-                authority.hearOfEpoch(command.news.epoch, command.news.leader)
+            is Command.PeerHeartbeatReceived -> {
+                peerHealth.hear(command.heartbeat)
+                delegate.hear(command.heartbeat)
+                leader?.delegates?.hear(command.heartbeat)
+                freshness.hear(command.heartbeat)
+                authority.hearOfEpoch(command.heartbeat.epoch, command.heartbeat.leader)
             }
             is Command.HeardWord -> cancellations.hear(command.word)
             is Command.HeardImages ->
@@ -294,7 +294,7 @@
         override fun onView(view: View) {
             log.info("epoch {} is led by {}", view.epoch, view.leader.label)
             viewIsNew = true
-            peers.newsChanged()
+            peers.heartbeatChanged()
         }
 
         override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) {
--- a/src/main/kotlin/oxbowlug/core/PeerHealth.kt
+++ b/src/main/kotlin/oxbowlug/core/PeerHealth.kt
@@ -10,22 +10,22 @@
 
     private val heard = HashMap<String, Heard>()
 
-    fun hear(news: PeerNews) {
-        heard[news.sender.label] = Heard(news.sender, news.seesState, news.mayConfirm, clock.steadyMs())
+    fun hear(heartbeat: PeerHeartbeat) {
+        heard[heartbeat.sender.label] = Heard(heartbeat.sender, heartbeat.seesState, heartbeat.mayConfirm, clock.steadyMs())
     }
 
     /** The newest life of a controller that was heard. */
     fun lifeOf(label: String): Member? = heard[label]?.sender
 
     fun isHeard(label: String): Boolean =
-        heard[label]?.let { clock.steadyMs() - it.atMs < timing.peerNewsMs * 4 } ?: false
+        heard[label]?.let { clock.steadyMs() - it.atMs < timing.peerHeartbeatMs * 4 } ?: false
 
     fun isWithoutState(label: String): Boolean = heard[label]?.mayConfirm == false
 
     /** Also true while no other one is heard: then it is this one that is cut off. */
     fun someoneElseSeesState(): Boolean {
         if (peers == 0) return false
-        val recent = heard.values.filter { clock.steadyMs() - it.atMs < timing.peerNewsMs * 4 }
+        val recent = heard.values.filter { clock.steadyMs() - it.atMs < timing.peerHeartbeatMs * 4 }
         return recent.isEmpty() || recent.any { it.seesState }
     }
 }
--- a/src/main/kotlin/oxbowlug/core/Ports.kt
+++ b/src/main/kotlin/oxbowlug/core/Ports.kt
@@ -105,8 +105,8 @@
 interface PeerPort {
     fun send(label: String, word: PeerWord)
 
-    /** What [Core.news] says has changed, and they should hear of it at once. */
-    fun newsChanged()
+    /** What [Core.heartbeat] says has changed, and they should hear of it at once. */
+    fun heartbeatChanged()
 }
 
 interface WorkerPort {
--- a/src/main/kotlin/oxbowlug/core/RenewalDelegate.kt
+++ b/src/main/kotlin/oxbowlug/core/RenewalDelegate.kt
@@ -47,17 +47,17 @@
     /** Counted for this life: an unchanged count shows the leader that nothing was renewed in between. */
     private var renewals = 0L
 
-    fun hear(news: PeerNews) {
+    fun hear(heartbeat: PeerHeartbeat) {
         val present = heard
         // Held packets come in order, but over several connections: an older word must not look like a new one.
-        if (present != null && present.leader == news.sender && news.atMs < present.itsMs) return
+        if (present != null && present.leader == heartbeat.sender && heartbeat.atMs < present.itsMs) return
         // One that was started in an outage knows no view yet, but its word is needed as much ([CancellationFreshness]).
-        val leader = replica.view?.leader ?: news.leader
-        if (news.sender == leader) heard = Heard(news.sender, news.atMs, clock.steadyMs())
+        val leader = replica.view?.leader ?: heartbeat.leader
+        if (heartbeat.sender == leader) heard = Heard(heartbeat.sender, heartbeat.atMs, clock.steadyMs())
     }
 
     /** What the leader is told: the last that was heard of it, and how much was renewed so far. */
-    fun echo(): Echo? = heard?.let { Echo(it.leader, it.itsMs, renewals) }
+    fun echo(): HeartbeatEcho? = heard?.let { HeartbeatEcho(it.leader, it.itsMs, renewals) }
 
     private fun aloneMs(): Long {
         val leader = replica.view?.leader
--- a/src/main/kotlin/oxbowlug/core/RenewalDelegates.kt
+++ b/src/main/kotlin/oxbowlug/core/RenewalDelegates.kt
@@ -67,10 +67,10 @@
         }
     }
 
-    fun hear(news: PeerNews) {
-        val echo = news.echo ?: return
+    fun hear(heartbeat: PeerHeartbeat) {
+        val echo = heartbeat.echo ?: return
         if (echo.of != view.leader) return
-        val one = named.values.firstOrNull { it.member == news.sender } ?: return
+        val one = named.values.firstOrNull { it.member == heartbeat.sender } ?: return
         if (one.renewals != echo.renewals) {
             one.renewals = echo.renewals
             one.clearFrom = clock.steadyMs()
--- a/src/main/kotlin/oxbowlug/core/Timing.kt
+++ b/src/main/kotlin/oxbowlug/core/Timing.kt
@@ -139,7 +139,7 @@
     val propagateTokenAfterMs: Long = (workerLeaseMs * 0.5).toLong()
 
     /** How often controllers tell one another how they are. */
-    val peerNewsMs: Long = workerLeaseRawMs / 20
+    val peerHeartbeatMs: Long = workerLeaseRawMs / 20
 
     /** Without an answer of the state service for this long, submissions are refused at once. */
     val stateAwayMs: Long = leaseLifeMs
--- a/src/main/kotlin/oxbowlug/core/TokenPropagation.kt
+++ b/src/main/kotlin/oxbowlug/core/TokenPropagation.kt
@@ -24,9 +24,9 @@
 
     fun tick(now: Long) {
         if (now - startedAt < timing.propagateTokenAfterMs || now < nextRoundAt || !mayBeAnswered()) return
-        nextRoundAt = now + timing.peerNewsMs
+        nextRoundAt = now + timing.peerHeartbeatMs
         // All of them at once would take the time that those who report need.
-        var left = (fleet.machines.size * timing.peerNewsMs / timing.propagateTokenAfterMs + 1).toInt()
+        var left = (fleet.machines.size * timing.peerHeartbeatMs / timing.propagateTokenAfterMs + 1).toInt()
         for (host in fleet.machines.values) {
             if (left == 0 || inFlight >= mostAtOnce) return
             if (!isMissing(host, now) || now < (nextAt[host] ?: 0)) continue
--- a/src/main/kotlin/oxbowlug/peer/PeerFrames.kt
+++ b/src/main/kotlin/oxbowlug/peer/PeerFrames.kt
@@ -4,10 +4,10 @@
 import okio.EOFException
 import oxbowlug.core.Acknowledgement
 import oxbowlug.core.Cancellation
-import oxbowlug.core.Echo
+import oxbowlug.core.HeartbeatEcho
 import oxbowlug.core.JobRecord
 import oxbowlug.core.Member
-import oxbowlug.core.PeerNews
+import oxbowlug.core.PeerHeartbeat
 import oxbowlug.core.PeerWord
 import oxbowlug.core.Phase
 import oxbowlug.wire.Cbor
@@ -22,7 +22,7 @@
 
 /** What controllers say to one another. */
 sealed interface PeerMessage {
-    data class News(val news: PeerNews) : PeerMessage
+    data class Heartbeat(val heartbeat: PeerHeartbeat) : PeerMessage
 
     /** A cancellation, or that it is known. */
     class Word(val word: PeerWord) : PeerMessage
@@ -33,7 +33,7 @@
 
 /** Frames between controllers: a length of four bytes, a kind, and its fields, each text with its length before it. */
 object PeerFrames {
-    private const val NEWS = 1
+    private const val HEARTBEAT = 1
     private const val IMAGES = 2
     private const val CANCELLED = 3
     private const val ACKNOWLEDGED = 4
@@ -41,23 +41,23 @@
     private const val MAX_TEXT = 200
     private const val MACHINES_A_FRAME = 200
 
-    fun encode(news: PeerNews): Buffer {
+    fun encode(heartbeat: PeerHeartbeat): Buffer {
         val payload = Buffer()
-        payload.writeByte(NEWS)
-        payload.member(news.sender)
-        payload.writeLong(news.epoch)
-        payload.writeByte(if (news.seesState) 1 else 0)
-        payload.writeByte(if (news.leader == null) 0 else 1)
-        news.leader?.let { payload.member(it) }
-        payload.writeLong(news.atMs)
-        payload.writeByte(if (news.echo == null) 0 else 1)
-        news.echo?.let { echo ->
+        payload.writeByte(HEARTBEAT)
+        payload.member(heartbeat.sender)
+        payload.writeLong(heartbeat.epoch)
+        payload.writeByte(if (heartbeat.seesState) 1 else 0)
+        payload.writeByte(if (heartbeat.leader == null) 0 else 1)
+        heartbeat.leader?.let { payload.member(it) }
+        payload.writeLong(heartbeat.atMs)
+        payload.writeByte(if (heartbeat.echo == null) 0 else 1)
+        heartbeat.echo?.let { echo ->
             payload.member(echo.of)
             payload.writeLong(echo.atMs)
             payload.writeLong(echo.renewals)
         }
-        payload.writeByte(if (news.hasUnacknowledged) 1 else 0)
-        payload.writeByte(if (news.mayConfirm) 1 else 0)
+        payload.writeByte(if (heartbeat.hasUnacknowledged) 1 else 0)
+        payload.writeByte(if (heartbeat.mayConfirm) 1 else 0)
         return framed(payload)
     }
 
@@ -132,7 +132,7 @@
     }
 
     private fun decode(payload: Buffer): PeerMessage = when (val kind = payload.readByte().toInt()) {
-        NEWS -> PeerMessage.News(decodeNews(payload))
+        HEARTBEAT -> PeerMessage.Heartbeat(decodeHeartbeat(payload))
         IMAGES -> decodeImages(payload)
         CANCELLED -> PeerMessage.Word(decodeCancelled(payload))
         ACKNOWLEDGED -> PeerMessage.Word(decodeAcknowledged(payload))
@@ -151,7 +151,7 @@
         return PeerMessage.Images(images, isFirst)
     }
 
-    private fun decodeNews(payload: Buffer): PeerNews {
+    private fun decodeHeartbeat(payload: Buffer): PeerHeartbeat {
         val sender = payload.member()
         val epoch = payload.readLong()
         if (epoch < 0) throw MalformedFrame("a negative epoch")
@@ -159,10 +159,10 @@
         val leader = if (payload.readByte().toInt() == 0) null else payload.member()
         val atMs = payload.readLong()
         val hasEcho = payload.readByte().toInt() != 0
-        val echo = if (hasEcho) Echo(payload.member(), payload.readLong(), payload.readLong()) else null
+        val echo = if (hasEcho) HeartbeatEcho(payload.member(), payload.readLong(), payload.readLong()) else null
         val hasUnacknowledged = payload.readByte().toInt() != 0
         val mayConfirm = payload.readByte().toInt() != 0
-        return PeerNews(sender, epoch, leader, seesState, atMs, echo, hasUnacknowledged, mayConfirm)
+        return PeerHeartbeat(sender, epoch, leader, seesState, atMs, echo, hasUnacknowledged, mayConfirm)
     }
 
     private fun decodeCancelled(payload: Buffer): PeerWord.Cancelled {
--- a/src/main/kotlin/oxbowlug/peer/PeerLink.kt
+++ b/src/main/kotlin/oxbowlug/peer/PeerLink.kt
@@ -8,7 +8,7 @@
 import org.slf4j.LoggerFactory
 import oxbowlug.config.Address
 import oxbowlug.config.Settings
-import oxbowlug.core.PeerNews
+import oxbowlug.core.PeerHeartbeat
 import oxbowlug.core.PeerPort
 import oxbowlug.core.PeerWord
 import oxbowlug.wire.ImageName
@@ -23,7 +23,7 @@
     private val vertx: Vertx,
     private val settings: Settings,
     private val everyMs: Long,
-    private val news: () -> PeerNews,
+    private val heartbeat: () -> PeerHeartbeat,
     private val images: () -> Map<MachineId, List<ImageName>>,
     private val heard: (PeerMessage) -> Unit,
 ) : PeerPort {
@@ -47,7 +47,7 @@
     /** Tells the newest view now. */
     private fun tellAll() = tellAll(emptyMap())
 
-    override fun newsChanged() = tellAll()
+    override fun heartbeatChanged() = tellAll()
 
     /** Lost if there is no connection: whoever needs an acknowledgement says it again. */
     override fun send(label: String, word: PeerWord) {
@@ -56,7 +56,7 @@
     }
 
     private fun tellAll(held: Map<MachineId, List<ImageName>>) {
-        val frames = PeerFrames.encode(news())
+        val frames = PeerFrames.encode(heartbeat())
         if (held.isNotEmpty()) frames.writeAll(PeerFrames.encode(held))
         val bytes = frames.readByteArray()
         for (index in settings.peers.indices) tell(index, bytes)
@@ -97,7 +97,7 @@
                 outgoing[index] = opened
                 opened.closeHandler { if (outgoing[index] === opened) outgoing[index] = null }
                 opened.exceptionHandler { }
-                opened.write(Buffer.buffer(PeerFrames.encode(news()).readByteArray()))
+                opened.write(Buffer.buffer(PeerFrames.encode(heartbeat()).readByteArray()))
             }
         }
     }
--- a/src/test/kotlin/oxbowlug/core/ProductionDataTest.kt
+++ b/src/test/kotlin/oxbowlug/core/ProductionDataTest.kt
@@ -83,7 +83,7 @@
         assertEquals(4, frames.size)
         for ((name, frame) in frames) {
             val again = when (val message = PeerFrames.next(Buffer().write(frame))) {
-                is PeerMessage.News -> PeerFrames.encode(message.news)
+                is PeerMessage.Heartbeat -> PeerFrames.encode(message.heartbeat)
                 is PeerMessage.Word -> PeerFrames.encode(message.word)
                 is PeerMessage.Images -> PeerFrames.encode(message.images)
                 null -> error("$name is not whole")
--- a/src/test/kotlin/oxbowlug/core/RenewalDelegateTest.kt
+++ b/src/test/kotlin/oxbowlug/core/RenewalDelegateTest.kt
@@ -85,7 +85,7 @@
 
     /** A word of the deputy: that it last heard the leader at [heardAt], and how much it has renewed. */
     private fun word(heardAt: Long, renewals: Long = 0) =
-        PeerNews(delegate, 3, leader, seesState = true, atMs = 0, echo = Echo(leader, heardAt, renewals))
+        PeerHeartbeat(delegate, 3, leader, seesState = true, atMs = 0, echo = HeartbeatEcho(leader, heardAt, renewals))
 
     @Test
     fun `a lease is surely over once the deputy's word covers all of it`() {
@@ -93,7 +93,7 @@
             val name: String,
             val zone: Zone,
             val overAfterMs: Long?,
-            val said: (sinceMs: Long, nowMs: Long) -> PeerNews?,
+            val said: (sinceMs: Long, nowMs: Long) -> PeerHeartbeat?,
         )
         val expiry = timing.workerExpiryMs
         val cases = listOf(
@@ -103,7 +103,9 @@
             Case("it stands still", zone, null) { since, now -> word(now - since) },
             Case("it renewed until later", zone, expiry + 3_000) { since, now -> word(now - 5, minOf(since, 3_000)) },
             Case("an earlier life", zone, null) { _, now -> word(now - 5).copy(sender = Member("n1", "old")) },
-            Case("of another leader", zone, null) { _, now -> word(now - 5).copy(echo = Echo(delegate, now, 0)) },
+            Case("of another leader", zone, null) { _, now ->
+                word(now - 5).copy(echo = HeartbeatEcho(delegate, now, 0))
+            },
         )
         for (case in cases) {
             val delegates = named()
@@ -142,14 +144,14 @@
         val here = RenewalDelegate(delegate, zone, clock, timing, replica)
         val report = report(zone, 3)
         isAway = true
-        here.hear(PeerNews(leader, 3, leader, seesState = true, atMs = 7))
+        here.hear(PeerHeartbeat(leader, 3, leader, seesState = true, atMs = 7))
         assertNull(here.renew(report), "just heard")
         clock.now += timing.delegateAfterMs
         assertEquals(Token(3), here.renew(report))
         assertNull(here.renew(report(Zone("a"), 3)), "of another zone")
         assertNull(here.renew(report(zone, 4)), "it knows a newer token")
-        assertEquals(Echo(leader, 7, 1), here.echo())
-        here.hear(PeerNews(leader, 3, leader, seesState = true, atMs = 8))
+        assertEquals(HeartbeatEcho(leader, 7, 1), here.echo())
+        here.hear(PeerHeartbeat(leader, 3, leader, seesState = true, atMs = 8))
         assertNull(here.renew(report), "the leader is heard again")
         clock.now += timing.delegateAfterMs
         isAway = false
--- a/src/test/kotlin/oxbowlug/peer/PeerFramesTest.kt
+++ b/src/test/kotlin/oxbowlug/peer/PeerFramesTest.kt
@@ -6,10 +6,10 @@
 import org.junit.jupiter.api.Test
 import oxbowlug.core.Acknowledgement
 import oxbowlug.core.Cancellation
-import oxbowlug.core.Echo
+import oxbowlug.core.HeartbeatEcho
 import oxbowlug.core.JobRecord
 import oxbowlug.core.Member
-import oxbowlug.core.PeerNews
+import oxbowlug.core.PeerHeartbeat
 import oxbowlug.core.PeerWord
 import oxbowlug.core.Phase
 import oxbowlug.core.Placement
@@ -22,15 +22,15 @@
 import java.util.BitSet
 
 class PeerFramesTest {
-    private val news = PeerNews(Member("n0", "x1"), 7, Member("n1", "y2"), seesState = true)
+    private val heartbeat = PeerHeartbeat(Member("n0", "x1"), 7, Member("n1", "y2"), seesState = true)
 
     @Test
     fun `frames survive being cut anywhere`() {
-        val echo = Echo(news.sender, 41, 3)
+        val echo = HeartbeatEcho(heartbeat.sender, 41, 3)
         val told =
             listOf(
-                news, news.copy(leader = null), news.copy(seesState = false), news.copy(atMs = 7, echo = echo),
-                news.copy(hasUnacknowledged = true), news.copy(mayConfirm = true),
+                heartbeat, heartbeat.copy(leader = null), heartbeat.copy(seesState = false), heartbeat.copy(atMs = 7, echo = echo),
+                heartbeat.copy(hasUnacknowledged = true), heartbeat.copy(mayConfirm = true),
             )
         val frames = Buffer()
         for (each in told) frames.writeAll(PeerFrames.encode(each))
@@ -40,7 +40,7 @@
             val got = generateSequence { PeerFrames.next(input) }.toMutableList()
             input.write(whole, cut, whole.size - cut)
             got += generateSequence { PeerFrames.next(input) }
-            assertEquals(told.map { PeerMessage.News(it) }, got, "cut at $cut")
+            assertEquals(told.map { PeerMessage.Heartbeat(it) }, got, "cut at $cut")
         }
     }
 
@@ -64,17 +64,17 @@
     )
 
     private fun cancelled(value: Map<String, Any?>, version: Long = 9) =
-        PeerFrames.encode(PeerWord.Cancelled(news.sender, Cancellation(JobId("run-1"), version, value)))
+        PeerFrames.encode(PeerWord.Cancelled(heartbeat.sender, Cancellation(JobId("run-1"), version, value)))
 
     @Test
     fun `cancellations and their acknowledgements come over whole`() {
         val word = (PeerFrames.next(cancelled(record)) as PeerMessage.Word).word as PeerWord.Cancelled
-        assertEquals(news.sender, word.sender)
+        assertEquals(heartbeat.sender, word.sender)
         assertEquals(JobId("run-1"), word.cancellation.id)
         assertEquals(9L, word.cancellation.version)
         assertEquals(record, word.cancellation.value)
         val items = listOf(Acknowledgement(JobId("run-1"), true), Acknowledgement(JobId("run-2"), false))
-        val said = PeerWord.Acknowledged(news.sender, items)
+        val said = PeerWord.Acknowledged(heartbeat.sender, items)
         assertEquals(said, (PeerFrames.next(PeerFrames.encode(said)) as PeerMessage.Word).word)
     }
 
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -118,7 +118,7 @@
         if (lives != life || core == null) return
         running.offer(Command.Tick)
         for (peer in peers()) {
-            if (peer !== this && reaches(peer)) peer.core?.offer(Command.HeardPeer(running.news()))
+            if (peer !== this && reaches(peer)) peer.core?.offer(Command.PeerHeartbeatReceived(running.heartbeat()))
         }
         world.after(50) { tick(life, running) }
     }
@@ -156,7 +156,7 @@
             if (reaches(peer)) world.after(1) { if (reaches(peer)) peer.core?.offer(Command.HeardWord(word)) }
         }
 
-        override fun newsChanged() = Unit
+        override fun heartbeatChanged() = Unit
 
         override fun status(endpoint: Address, done: (WorkerReport?) -> Unit) {
             val worker = endpoints(endpoint)
