--- a/src/main/kotlin/oxbowlug/cli/Service.kt
+++ b/src/main/kotlin/oxbowlug/cli/Service.kt
@@ -75,7 +75,7 @@
         val peers = PeerLink(vertx, settings, Timing(settings, random).peerHeartbeatMs, heartbeat, images) { message ->
             when (message) {
                 is PeerMessage.Heartbeat -> core.offer(Command.PeerHeartbeatReceived(message.heartbeat))
-                is PeerMessage.Word -> core.offer(Command.HeardWord(message.word))
+                is PeerMessage.Word -> core.offer(Command.CancellationNoticeReceived(message.word))
                 is PeerMessage.Images -> core.offer(Command.HeardImages(message.images, message.isFirst))
             }
         }
--- a/src/main/kotlin/oxbowlug/core/Cancellations.kt
+++ b/src/main/kotlin/oxbowlug/core/Cancellations.kt
@@ -18,12 +18,12 @@
 data class Acknowledgement(val id: JobId, val hasEnded: Boolean)
 
 /** What controllers say to one another about cancellations. Facts of the state service, so of no epoch. */
-sealed interface PeerWord {
+sealed interface CancellationNotice {
     val sender: Member
 
-    class Cancelled(override val sender: Member, val cancellation: Cancellation) : PeerWord
+    class Cancelled(override val sender: Member, val cancellation: Cancellation) : CancellationNotice
 
-    data class Acknowledged(override val sender: Member, val items: List<Acknowledgement>) : PeerWord
+    data class Acknowledged(override val sender: Member, val items: List<Acknowledgement>) : CancellationNotice
 }
 
 /** What has to be stopped whoever leads: tasks of jobs that are cancelled for good. */
@@ -134,7 +134,7 @@
     }
 
     private fun sendToAll(pending: PendingCancellation) {
-        for (peer in settings.peers) peers.send(peer.label, PeerWord.Cancelled(self, pending.cancellation))
+        for (peer in settings.peers) peers.send(peer.label, CancellationNotice.Cancelled(self, pending.cancellation))
     }
 
     fun tick() {
@@ -159,14 +159,14 @@
                 // By the watch all learn of it in time; one that lost the state service, or was started since, doesn't.
                 else -> now - pending.learnedAt > timing.enforceAfterMs || peerHealth.isWithoutState(peer.label)
             }
-            if (due) peers.send(peer.label, PeerWord.Cancelled(self, pending.cancellation))
+            if (due) peers.send(peer.label, CancellationNotice.Cancelled(self, pending.cancellation))
         }
     }
 
-    fun hear(word: PeerWord) {
+    fun hear(word: CancellationNotice) {
         when (word) {
-            is PeerWord.Cancelled -> hearCancelled(word)
-            is PeerWord.Acknowledged -> for (item in word.items) {
+            is CancellationNotice.Cancelled -> hearCancelled(word)
+            is CancellationNotice.Acknowledged -> for (item in word.items) {
                 val pending = pendingById[item.id] ?: continue
                 pending.acknowledged.add(word.sender)
                 if (item.hasEnded && word.sender == replica.view?.leader) pending.hasEnded = true
@@ -174,7 +174,7 @@
         }
     }
 
-    private fun hearCancelled(word: PeerWord.Cancelled) {
+    private fun hearCancelled(word: CancellationNotice.Cancelled) {
         val said = word.cancellation
         val present = replica.job(said.id)
         val isFinal = JobRecord.phaseOf(said.value.fields()) == Phase.CANCELLED
@@ -184,7 +184,7 @@
         }
         replica.hear(said.id, said.version, said.value)
         val hasEnded = replica.job(said.id)?.placed == 0 || hasEndedHere(said.id) == true
-        peers.send(word.sender.label, PeerWord.Acknowledged(self, listOf(Acknowledgement(said.id, hasEnded))))
+        peers.send(word.sender.label, CancellationNotice.Acknowledged(self, listOf(Acknowledgement(said.id, hasEnded))))
     }
 
     private companion object {
--- a/src/main/kotlin/oxbowlug/core/Command.kt
+++ b/src/main/kotlin/oxbowlug/core/Command.kt
@@ -23,7 +23,7 @@
 
     class PeerHeartbeatReceived(val heartbeat: PeerHeartbeat) : Command
 
-    class HeardWord(val word: PeerWord) : Command
+    class CancellationNoticeReceived(val word: CancellationNotice) : Command
 
     class HeardImages(val images: Map<MachineId, List<ImageName>>, val isFirst: Boolean) : Command
 
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -155,7 +155,7 @@
                 freshness.hear(command.heartbeat)
                 authority.hearOfEpoch(command.heartbeat.epoch, command.heartbeat.leader)
             }
-            is Command.HeardWord -> cancellations.hear(command.word)
+            is Command.CancellationNoticeReceived -> cancellations.hear(command.word)
             is Command.HeardImages ->
                 rememberedImages = if (command.isFirst) command.images else rememberedImages + command.images
             is Command.Settled -> command.action()
--- a/src/main/kotlin/oxbowlug/core/Ports.kt
+++ b/src/main/kotlin/oxbowlug/core/Ports.kt
@@ -103,7 +103,7 @@
 
 /** The other controllers, by their labels. Words to one of them arrive in order, or not at all. */
 interface PeerPort {
-    fun send(label: String, word: PeerWord)
+    fun send(label: String, word: CancellationNotice)
 
     /** What [Core.heartbeat] says has changed, and they should hear of it at once. */
     fun heartbeatChanged()
--- a/src/main/kotlin/oxbowlug/peer/PeerFrames.kt
+++ b/src/main/kotlin/oxbowlug/peer/PeerFrames.kt
@@ -4,11 +4,11 @@
 import okio.EOFException
 import oxbowlug.core.Acknowledgement
 import oxbowlug.core.Cancellation
+import oxbowlug.core.CancellationNotice
 import oxbowlug.core.HeartbeatEcho
 import oxbowlug.core.JobRecord
 import oxbowlug.core.Member
 import oxbowlug.core.PeerHeartbeat
-import oxbowlug.core.PeerWord
 import oxbowlug.core.Phase
 import oxbowlug.wire.Cbor
 import oxbowlug.wire.ImageName
@@ -25,7 +25,7 @@
     data class Heartbeat(val heartbeat: PeerHeartbeat) : PeerMessage
 
     /** A cancellation, or that it is known. */
-    class Word(val word: PeerWord) : PeerMessage
+    class Word(val word: CancellationNotice) : PeerMessage
 
     /** A part of what the leader knows of its machines; the first part begins a new account. */
     data class Images(val images: Map<MachineId, List<ImageName>>, val isFirst: Boolean) : PeerMessage
@@ -61,17 +61,17 @@
         return framed(payload)
     }
 
-    fun encode(word: PeerWord): Buffer {
+    fun encode(word: CancellationNotice): Buffer {
         val payload = Buffer()
         when (word) {
-            is PeerWord.Cancelled -> {
+            is CancellationNotice.Cancelled -> {
                 payload.writeByte(CANCELLED)
                 payload.member(word.sender)
                 payload.text(word.cancellation.id.value)
                 payload.writeLong(word.cancellation.version)
                 payload.write(Cbor.encode(word.cancellation.value))
             }
-            is PeerWord.Acknowledged -> {
+            is CancellationNotice.Acknowledged -> {
                 payload.writeByte(ACKNOWLEDGED)
                 payload.member(word.sender)
                 payload.writeInt(word.items.size)
@@ -165,13 +165,13 @@
         return PeerHeartbeat(sender, epoch, leader, seesState, atMs, echo, hasUnacknowledged, mayConfirm)
     }
 
-    private fun decodeCancelled(payload: Buffer): PeerWord.Cancelled {
+    private fun decodeCancelled(payload: Buffer): CancellationNotice.Cancelled {
         val sender = payload.member()
         val id = payload.jobId()
         val version = payload.readLong()
         if (version <= 0) throw MalformedFrame("a record of revision $version")
         val value = record(id, payload.readByteArray())
-        return PeerWord.Cancelled(sender, Cancellation(id, version, value))
+        return CancellationNotice.Cancelled(sender, Cancellation(id, version, value))
     }
 
     /** Taken in as if it came from the state service, so it has to be a record in every part. */
@@ -190,12 +190,12 @@
         throw MalformedFrame("the record of $id: $problem")
     }
 
-    private fun decodeAcknowledged(payload: Buffer): PeerWord.Acknowledged {
+    private fun decodeAcknowledged(payload: Buffer): CancellationNotice.Acknowledged {
         val sender = payload.member()
         val count = payload.readInt()
         if (count !in 0..MAX_FRAME) throw MalformedFrame("$count acknowledgements")
         val items = List(count) { Acknowledgement(payload.jobId(), hasEnded = payload.readByte().toInt() != 0) }
-        return PeerWord.Acknowledged(sender, items)
+        return CancellationNotice.Acknowledged(sender, items)
     }
 
     private fun Buffer.jobId(): JobId {
--- a/src/main/kotlin/oxbowlug/peer/PeerLink.kt
+++ b/src/main/kotlin/oxbowlug/peer/PeerLink.kt
@@ -8,9 +8,9 @@
 import org.slf4j.LoggerFactory
 import oxbowlug.config.Address
 import oxbowlug.config.Settings
+import oxbowlug.core.CancellationNotice
 import oxbowlug.core.PeerHeartbeat
 import oxbowlug.core.PeerPort
-import oxbowlug.core.PeerWord
 import oxbowlug.wire.ImageName
 import oxbowlug.wire.MachineId
 import okio.Buffer as Frames
@@ -50,7 +50,7 @@
     override fun heartbeatChanged() = tellAll()
 
     /** Lost if there is no connection: whoever needs an acknowledgement says it again. */
-    override fun send(label: String, word: PeerWord) {
+    override fun send(label: String, word: CancellationNotice) {
         val index = settings.peers.indexOfFirst { it.label == label }
         if (index >= 0) tell(index, PeerFrames.encode(word).readByteArray())
     }
--- a/src/test/kotlin/oxbowlug/peer/PeerFramesTest.kt
+++ b/src/test/kotlin/oxbowlug/peer/PeerFramesTest.kt
@@ -6,11 +6,11 @@
 import org.junit.jupiter.api.Test
 import oxbowlug.core.Acknowledgement
 import oxbowlug.core.Cancellation
+import oxbowlug.core.CancellationNotice
 import oxbowlug.core.HeartbeatEcho
 import oxbowlug.core.JobRecord
 import oxbowlug.core.Member
 import oxbowlug.core.PeerHeartbeat
-import oxbowlug.core.PeerWord
 import oxbowlug.core.Phase
 import oxbowlug.core.Placement
 import oxbowlug.wire.Cbor
@@ -64,17 +64,17 @@
     )
 
     private fun cancelled(value: Map<String, Any?>, version: Long = 9) =
-        PeerFrames.encode(PeerWord.Cancelled(heartbeat.sender, Cancellation(JobId("run-1"), version, value)))
+        PeerFrames.encode(CancellationNotice.Cancelled(heartbeat.sender, Cancellation(JobId("run-1"), version, value)))
 
     @Test
     fun `cancellations and their acknowledgements come over whole`() {
-        val word = (PeerFrames.next(cancelled(record)) as PeerMessage.Word).word as PeerWord.Cancelled
+        val word = (PeerFrames.next(cancelled(record)) as PeerMessage.Word).word as CancellationNotice.Cancelled
         assertEquals(heartbeat.sender, word.sender)
         assertEquals(JobId("run-1"), word.cancellation.id)
         assertEquals(9L, word.cancellation.version)
         assertEquals(record, word.cancellation.value)
         val items = listOf(Acknowledgement(JobId("run-1"), true), Acknowledgement(JobId("run-2"), false))
-        val said = PeerWord.Acknowledged(heartbeat.sender, items)
+        val said = CancellationNotice.Acknowledged(heartbeat.sender, items)
         assertEquals(said, (PeerFrames.next(PeerFrames.encode(said)) as PeerMessage.Word).word)
     }
 
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -2,6 +2,7 @@
 
 import oxbowlug.config.Address
 import oxbowlug.config.Settings
+import oxbowlug.core.CancellationNotice
 import oxbowlug.core.ChangesOutcome
 import oxbowlug.core.CloudPort
 import oxbowlug.core.Command
@@ -11,7 +12,6 @@
 import oxbowlug.core.Member
 import oxbowlug.core.Meters
 import oxbowlug.core.PeerPort
-import oxbowlug.core.PeerWord
 import oxbowlug.core.RentalOutcome
 import oxbowlug.core.ReportAnswer
 import oxbowlug.core.StatePort
@@ -151,9 +151,12 @@
     fun ask(command: Command): Boolean = !isAway && (core?.offer(command) ?: false)
 
     private inner class Ports(private val life: Int) : StatePort, CloudPort, WorkerPort, PeerPort {
-        override fun send(label: String, word: PeerWord) {
+        override fun send(label: String, word: CancellationNotice) {
             val peer = peers().first { it.label == label }
-            if (reaches(peer)) world.after(1) { if (reaches(peer)) peer.core?.offer(Command.HeardWord(word)) }
+            if (reaches(peer))
+                world.after(1) {
+                    if (reaches(peer)) peer.core?.offer(Command.CancellationNoticeReceived(word))
+                }
         }
 
         override fun heartbeatChanged() = Unit
