--- a/src/main/kotlin/oxbowlug/cloud/CloudClient.kt
+++ b/src/main/kotlin/oxbowlug/cloud/CloudClient.kt
@@ -47,7 +47,7 @@
         }
     }
 
-    override fun giveBack(machines: List<MachineId>, done: (Boolean) -> Unit) = launch(done, false) {
+    override fun returnMachines(machines: List<MachineId>, done: (Boolean) -> Unit) = launch(done, false) {
         val body = CloudCodec.encodeReturn(machines)
         val result = http.call(address, HttpMethod.POST, "/rentals/return", body, timeoutMs)
         result is CallResult.Answered && result.status == 200
--- a/src/main/kotlin/oxbowlug/core/CancellationEnforcer.kt
+++ b/src/main/kotlin/oxbowlug/core/CancellationEnforcer.kt
@@ -79,7 +79,7 @@
                 if (sinceMs > timing.enforceByReturnMs + rank * callMs && !isClear) toReturn.add(machine)
             }
         }
-        if (toReturn.isNotEmpty()) giveBack(toReturn.take(CloudCodec.MAX_RETURNED), now)
+        if (toReturn.isNotEmpty()) returnMachines(toReturn.take(CloudCodec.MAX_RETURNED), now)
     }
 
     private fun look(machine: MachineId, watch: Watched, attempts: Set<Attempt>, now: Long) {
@@ -131,11 +131,11 @@
         }
     }
 
-    private fun giveBack(machines: List<MachineId>, now: Long) {
+    private fun returnMachines(machines: List<MachineId>, now: Long) {
         if (isReturning || now < nextReturnAt || !budget.tryTake(1.0, now)) return
         isReturning = true
         log.info("returning {}: they may hold cancelled work, and nobody else sees to it", machines)
-        cloud.giveBack(machines) { ok ->
+        cloud.returnMachines(machines) { ok ->
             isReturning = false
             nextReturnAt = clock.steadyMs() + timing.retryMs()
             if (ok) returned.addAll(machines)
--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -227,7 +227,7 @@
                 remove(placed)
             }
         }
-        for (task in host.tasks.values) if (task.attempt !in host.live) takeStranger(task, now)
+        for (task in host.tasks.values) if (task.attempt !in host.live) adoptUnknownResult(task, now)
     }
 
     private fun takeSeen(host: Machine, placed: Live, seen: ReportedTask, now: Long) {
@@ -259,7 +259,7 @@
     }
 
     /** A result of an attempt that we had given up: it counts if its task isn't placed again. */
-    private fun takeStranger(task: ReportedTask, now: Long) {
+    private fun adoptUnknownResult(task: ReportedTask, now: Long) {
         if (task.state != TaskState.EXITED || task.cause != ExitCause.DONE) return
         val job = jobs[task.attempt.task.job] ?: return
         val index = task.attempt.task.index
--- a/src/main/kotlin/oxbowlug/core/JobRequests.kt
+++ b/src/main/kotlin/oxbowlug/core/JobRequests.kt
@@ -49,7 +49,7 @@
     /** Told of each cancellation before its user is. */
     private val onCancelled: (JobId, Long, Map<String, Any?>) -> Unit,
     /** A user is about to be told that it is cancelled, by whoever it was. */
-    private val onToldCancelled: (JobId) -> Unit,
+    private val onAnsweredCancelled: (JobId) -> Unit,
 ) {
     private val admission = AdmissionLimit()
     private val layout = RecordLayout(settings.state.lowest)
@@ -264,7 +264,7 @@
 
     private fun known(id: JobId, stored: StoredJob): UserAnswer {
         if (stored.isUnreadable) return unavailable("the job's record can't be read")
-        if (stored.phase == Phase.CANCELLED) onToldCancelled(id)
+        if (stored.phase == Phase.CANCELLED) onAnsweredCancelled(id)
         return UserAnswer.Known(stored.view(id))
     }
 
--- a/src/main/kotlin/oxbowlug/core/Ports.kt
+++ b/src/main/kotlin/oxbowlug/core/Ports.kt
@@ -84,7 +84,7 @@
 
     fun rent(request: RentalRequest, done: (RentalOutcome) -> Unit)
 
-    fun giveBack(machines: List<MachineId>, done: (Boolean) -> Unit)
+    fun returnMachines(machines: List<MachineId>, done: (Boolean) -> Unit)
 
     /** The whole list, page by page, or null when any page failed. */
     fun list(done: (List<ListedMachine>?) -> Unit)
--- a/src/main/kotlin/oxbowlug/core/Rentals.kt
+++ b/src/main/kotlin/oxbowlug/core/Rentals.kt
@@ -52,7 +52,7 @@
 
     fun returnDue() {
         val now = clock.steadyMs()
-        if (!returning && toReturn.isNotEmpty() && now >= nextReturnAt && budget.tryTake(1.0, now)) giveBack()
+        if (!returning && toReturn.isNotEmpty() && now >= nextReturnAt && budget.tryTake(1.0, now)) returnMachines()
     }
 
     fun rent(kind: Kind, count: Int) {
@@ -128,10 +128,10 @@
         toReturn.add(machine.id)
     }
 
-    private fun giveBack() {
+    private fun returnMachines() {
         val batch = toReturn.take(CloudCodec.MAX_RETURNED)
         returning = true
-        cloud.giveBack(batch) { ok ->
+        cloud.returnMachines(batch) { ok ->
             returning = false
             if (ok) {
                 toReturn.removeAll(batch.toSet())
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -175,10 +175,10 @@
     }
 
     private fun stopAll(choice: Preemption.Choice) {
-        for (victim in choice.victims) {
-            snapshot.teams[victim.team]?.expectStop(victim.need)
-            choice.machine.stop(victim)
-            stops.add(victim.attempt)
+        for (preemptedTask in choice.preempted) {
+            snapshot.teams[preemptedTask.team]?.expectStop(preemptedTask.need)
+            choice.machine.stop(preemptedTask)
+            stops.add(preemptedTask.attempt)
         }
     }
 
--- a/src/main/kotlin/oxbowlug/plan/Preemption.kt
+++ b/src/main/kotlin/oxbowlug/plan/Preemption.kt
@@ -8,9 +8,9 @@
  * displaces work of the same or a higher priority.
  */
 object Preemption {
-    class Choice(val machine: PlanMachine, val victims: List<Tenant>, val cost: Double)
+    class Choice(val machine: PlanMachine, val preempted: List<Tenant>, val cost: Double)
 
-    fun victims(
+    fun preempted(
         job: PlanJob,
         need: Amounts,
         guaranteed: Boolean,
@@ -36,8 +36,8 @@
         if (chosen.isEmpty() || !need.fitsIn(room)) return null
         val delayS = chosen.maxOf { it.saveS } + REACTION_S + machine.fetchS(job.spec)
         val price = machine.type.price(machine.spot)
-        val losses = chosen.sumOf { victim ->
-            Pricing.omega(victim.weight, snapshot) * (victim.saveS + victim.lossS + victim.restartS)
+        val losses = chosen.sumOf { preemptedTask ->
+            Pricing.omega(preemptedTask.weight, snapshot) * (preemptedTask.saveS + preemptedTask.lossS + preemptedTask.restartS)
         }
         // Priced like free room is: else stopping a GPU's task would look cheaper than the free cores beside it.
         val cost = Pricing.cost(job, need, machine.type, price, delayS, startWeight, snapshot) +
@@ -136,6 +136,6 @@
     private fun ask(index: Int): Asked {
         asked++
         val machine = candidates[index]
-        return Asked(Preemption.victims(job, need, guaranteed, startWeight, machine, snapshot), machine.changes)
+        return Asked(Preemption.preempted(job, need, guaranteed, startWeight, machine, snapshot), machine.changes)
     }
 }
--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -350,7 +350,7 @@
 
         override fun rent(request: RentalRequest, done: (RentalOutcome) -> Unit) = Unit
 
-        override fun giveBack(machines: List<MachineId>, done: (Boolean) -> Unit) = Unit
+        override fun returnMachines(machines: List<MachineId>, done: (Boolean) -> Unit) = Unit
 
         override fun list(done: (List<ListedMachine>?) -> Unit) = Unit
     }
--- a/src/test/kotlin/oxbowlug/core/JobRequestsTest.kt
+++ b/src/test/kotlin/oxbowlug/core/JobRequestsTest.kt
@@ -96,7 +96,7 @@
     private fun jobRequests(copy: Replica) = JobRequests(
         Names(Member("n0", "x")), settings, Port(), clock, timing, copy, RateBudget(10.0), NoMeters,
         onCancelled = { id, _, value -> told.add("confirmed $id of ${machines(value)} machines") },
-        onToldCancelled = { told.add("told $it") },
+        onAnsweredCancelled = { told.add("told $it") },
     )
 
     private fun machines(value: Map<String, Any?>): Int = (value["run"] as? Map<*, *>)?.size ?: 0
--- a/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
@@ -153,7 +153,7 @@
         class Case(
             val name: String,
             val job: Priority,
-            val victim: Priority,
+            val preemptedTask: Priority,
             val red: PlanTeam,
             val blue: PlanTeam,
             val may: Boolean,
@@ -169,10 +169,10 @@
         )
         for (case in cases) {
             val job = job(spec(priority = case.job))
-            val victim = tenant(spec("run-9", priority = case.victim, team = "blue"))
+            val preemptedTask = tenant(spec("run-9", priority = case.preemptedTask, team = "blue"))
             val teams = teams(case.red, case.blue)
             val guaranteed = case.red.guarantees(job.spec.amounts())
-            assertEquals(case.may, Preemption.mayStop(job, guaranteed, victim, teams), case.name)
+            assertEquals(case.may, Preemption.mayStop(job, guaranteed, preemptedTask, teams), case.name)
         }
     }
 
--- a/src/test/kotlin/oxbowlug/sim/SimCloud.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimCloud.kt
@@ -72,7 +72,7 @@
         }
     }
 
-    fun giveBack(ids: List<MachineId>) {
+    fun returnMachines(ids: List<MachineId>) {
         listed = null
         for (id in ids) {
             val worker = machines.remove(id.value)?.worker ?: continue
@@ -83,7 +83,7 @@
     }
 
     /** A spot machine is taken: it is gone with no trace but its absence. */
-    fun take(id: MachineId) = giveBack(listOf(id))
+    fun take(id: MachineId) = returnMachines(listOf(id))
 
     /** A machine dies: listed as running for a while, then as failed. */
     fun fail(id: MachineId) {
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -274,9 +274,9 @@
         override fun rent(request: RentalRequest, done: (RentalOutcome) -> Unit) =
             call(::cloudUp, RentalOutcome.Refused, RentalOutcome.Unanswered, done) { cloud.rent(request) }
 
-        override fun giveBack(machines: List<MachineId>, done: (Boolean) -> Unit) =
+        override fun returnMachines(machines: List<MachineId>, done: (Boolean) -> Unit) =
             call(::cloudUp, false, false, done) {
-                cloud.giveBack(machines)
+                cloud.returnMachines(machines)
                 true
             }
 
--- a/src/test/kotlin/oxbowlug/sim/Simulation.kt
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -201,8 +201,10 @@
         for (next in second) submitAfter(next)
         if (world.chance(0.2)) world.after(30_000) { submitAfter(last) } else submitAfter(last)
         if (world.chance(cancelled)) {
-            val victim = stages[world.random.nextInt(stages.size)].id.value
-            world.after(world.between(500, 25_000)) { if (rules.jobs[victim]?.accepted == true) cancel(victim) }
+            val preemptedTask = stages[world.random.nextInt(stages.size)].id.value
+            world.after(world.between(500, 25_000)) {
+                if (rules.jobs[preemptedTask]?.accepted == true) cancel(preemptedTask)
+            }
         }
     }
 
