--- a/src/main/kotlin/oxbowlug/core/CancellationEnforcer.kt
+++ b/src/main/kotlin/oxbowlug/core/CancellationEnforcer.kt
@@ -143,6 +143,6 @@
     }
 
     private companion object {
-        val log = LoggerFactory.getLogger("remedy")
+        val log = LoggerFactory.getLogger("cancellations")
     }
 }
--- a/src/main/kotlin/oxbowlug/core/JobRequests.kt
+++ b/src/main/kotlin/oxbowlug/core/JobRequests.kt
@@ -277,7 +277,7 @@
     }
 
     private companion object {
-        val log = LoggerFactory.getLogger("desk")
+        val log = LoggerFactory.getLogger("requests")
         const val RETRY_AFTER_S = 1
         const val CANCEL_TRIES = 5
     }
--- a/src/main/kotlin/oxbowlug/core/RenewalDelegates.kt
+++ b/src/main/kotlin/oxbowlug/core/RenewalDelegates.kt
@@ -52,7 +52,7 @@
         if (present != null && members.none { it.label == present.label && it != present }) return
         val next = members.filter { zoneOf[it.label] == zone && it != view.leader && it != present }
             .minByOrNull { it.label } ?: return
-        log.info("{} is deputy for {}", next.label, zone)
+        log.info("{} renews leases for {} if it is cut off", next.label, zone)
         named[zone] = Named(next)
     }
 
@@ -88,6 +88,6 @@
     }
 
     private companion object {
-        val log = LoggerFactory.getLogger("deputies")
+        val log = LoggerFactory.getLogger("delegates")
     }
 }
