--- /dev/null
+++ b/src/test/kotlin/oxbowlug/core/TestDoubles.kt
@@ -0,0 +1,41 @@
+package oxbowlug.core
+
+import oxbowlug.sim.SimStore
+import oxbowlug.wire.JobId
+import oxbowlug.wire.ReadPage
+import oxbowlug.wire.Transaction
+
+/** Whoever tests a copy of the store without anything that depends on it. */
+object IgnoringListener : ReplicaListener {
+    override fun onRoster() = Unit
+
+    override fun onView(view: View) = Unit
+
+    override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = Unit
+
+    override fun onDependencyChanged(id: JobId) = Unit
+
+    override fun onWritableFormat(format: WritableFormat) = Unit
+}
+
+/** Answers at once from the store; watches stay open, and there are no leases. */
+open class ImmediateStatePort(private val store: SimStore) : StatePort {
+    override fun commit(transaction: Transaction, done: (CommitOutcome) -> Unit) = done(store.commit(transaction))
+
+    override fun readPage(prefix: String, after: String?, done: (ReadPage?) -> Unit) =
+        done(store.read(prefix, after, PAGE))
+
+    override fun changes(prefix: String, from: Long, waitMs: Long, done: (ChangesOutcome) -> Unit) {
+        if (waitMs == 0L) done(store.changes(prefix, from))
+    }
+
+    override fun grant(lifeMs: Long, done: (Long?) -> Unit) = Unit
+
+    override fun touch(lease: Long, done: (TouchOutcome) -> Unit) = Unit
+
+    override fun release(lease: Long) = Unit
+
+    private companion object {
+        const val PAGE = 1000
+    }
+}
