A new leader looks for large records after a lease's time, and room is counted without building records

Cause suspected, not shown: at its election a leader encoded each live record to see whether it is too large, also on sites whose limits don't fall. Now that is done once, a worker's lease later, and only where settings.state.next is there.

--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -56,7 +56,16 @@
 
     init {
         replica.forEachActive { id, stored -> stored.value?.let { fleet.takeJob(id, stored, it) } }
-        if (replica.writableFormat == WritableFormat.HEAD_AND_PARTS) divideLargeRecords()
+    }
+
+    /** Large records are looked for once, when a lease's time has passed: a new leader has more urgent things to do. */
+    private var divideAt = startedAt + timing.workerLeaseRawMs
+
+    private fun divideWhenDue(now: Long) {
+        val isDue = now >= divideAt && replica.writableFormat == WritableFormat.HEAD_AND_PARTS
+        if (!isDue) return
+        divideAt = Long.MAX_VALUE
+        if (settings.state.next != null) divideLargeRecords()
     }
 
     /**
@@ -108,6 +117,7 @@
         val hasRoom by lazy(LazyThreadSafetyMode.NONE) { planning.hasRoomFor(heartbeats.suspects, types) }
         for (host in fleet.machines.values.toList()) watchOver(host, now, types, heartbeats) { hasRoom }
         fleet.sweep()
+        divideWhenDue(now)
         tokenPropagation.tick(now)
         rentals.tick(types)
         if (types.isNotEmpty() && (now >= nextRoundAt || (fleet.planWanted && now >= nextPlanAt))) plan(types, now)
--- a/src/main/kotlin/oxbowlug/core/Planning.kt
+++ b/src/main/kotlin/oxbowlug/core/Planning.kt
@@ -144,8 +144,17 @@
         return (maxOf(many, few) - job.live.size).coerceAtLeast(0)
     }
 
-    private fun dividedRoom(job: Job): Int =
-        dividedRecords.roomForTasks(job.record(""), machineNameBytes).coerceAtLeast(if (job.live.isEmpty()) 1 else 0)
+    private fun dividedRoom(job: Job): Int {
+        val occupancy = RecordLayout.Occupancy(
+            tasks = job.spec.tasks,
+            nextAttempt = job.nextAttempt,
+            doneRanges = Ranges.count(job.done),
+            placed = job.live.size,
+            machines = job.live.values.mapTo(HashSet()) { it.machine }.size,
+            nameBytes = machineNameBytes,
+        )
+        return dividedRecords.roomForTasks(occupancy).coerceAtLeast(if (job.live.isEmpty()) 1 else 0)
+    }
 
     /** The longest machine name less what all of them share. */
     private fun machineNameBytes(): Int {
--- a/src/main/kotlin/oxbowlug/core/RecordLayout.kt
+++ b/src/main/kotlin/oxbowlug/core/RecordLayout.kt
@@ -51,19 +51,28 @@
         return head
     }
 
+    /** What bears on how many more of a job's tasks its record has room for. */
+    class Occupancy(
+        val tasks: Int,
+        val nextAttempt: Long,
+        val doneRanges: Int,
+        val placed: Int,
+        val machines: Int,
+        /** The length of the longest machine name less what all names share. */
+        val nameBytes: Int,
+    )
+
     /**
      * How many more tasks may be placed, each on a machine of its own, so that the record fits however the tasks end:
-     * those of one machine are one short range at first, and may leave a range each. [nameBytes] is the length of the
-     * longest machine name less what all names share.
+     * those of one machine are one short range at first, and may leave a range each.
      */
-    fun roomForTasks(record: JobRecord, nameBytes: Int): Int {
-        val taskBytes = record.spec.tasks.toString().length
+    fun roomForTasks(present: Occupancy): Int {
+        val taskBytes = present.tasks.toString().length
         val rangeBytes = 2 * taskBytes + RANGE_MARKS
-        val machineBytes = nameBytes + record.nextAttempt.toString().length + MACHINE_MARKS
+        val machineBytes = present.nameBytes + present.nextAttempt.toString().length + MACHINE_MARKS
         val aloneBytes = machineBytes + taskBytes + 1
-        val machines = record.placements.values.distinctBy { it.machine }.size
-        val placed = record.placements.size
-        val usedBytes = Ranges.encode(record.done).length + machines * aloneBytes + (placed - machines) * rangeBytes
+        val usedBytes = present.doneRanges * rangeBytes + present.machines * aloneBytes +
+            (present.placed - present.machines) * rangeBytes
         val largestPiece = machineBytes + RANGES_A_PIECE * rangeBytes
         val capacity = mostParts * (valueBytes - PART_RESERVE - largestPiece)
         return (capacity - usedBytes) / aloneBytes
--- a/src/main/kotlin/oxbowlug/core/Records.kt
+++ b/src/main/kotlin/oxbowlug/core/Records.kt
@@ -200,13 +200,15 @@
         return set
     }
 
-    fun sizeBound(set: BitSet): Int {
+    fun sizeBound(set: BitSet): Int = count(set) * RANGE_BOUND
+
+    fun count(set: BitSet): Int {
         var ranges = 0
         var from = set.nextSetBit(0)
         while (from >= 0) {
             ranges++
             from = set.nextSetBit(set.nextClearBit(from))
         }
-        return ranges * RANGE_BOUND
+        return ranges
     }
 }
--- a/src/test/kotlin/oxbowlug/core/RecordLayoutTest.kt
+++ b/src/test/kotlin/oxbowlug/core/RecordLayoutTest.kt
@@ -142,7 +142,11 @@
         val placements = LinkedHashMap<Int, Placement>()
         val from = doneBefore.length()
         while (true) {
-            val room = layout.roomForTasks(record(job, placements, doneBefore), "000000".length)
+            val occupancy = RecordLayout.Occupancy(
+                tasks, 137, Ranges.count(doneBefore), placements.size,
+                placements.values.distinctBy { it.machine }.size, "000000".length,
+            )
+            val room = layout.roomForTasks(occupancy)
             val next = minOf(room, tasks - from - placements.size)
             if (next <= 0) return record(job, placements, doneBefore)
             repeat(next) {
