--- a/src/test/kotlin/oxbowlug/sim/PipelinesTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/PipelinesTest.kt
@@ -29,6 +29,8 @@
             day.users(everyMs = 4_000, untilMs = 90_000)
             day.pipelines(everyMs = 5_000, untilMs = 90_000)
             case.play(day)
+            // On so many machines that its record has to be divided, whatever else the day brings.
+            day.at(92_000) { submit(stage("wide").copy(tasks = 24, cores = 16.0)) }
             day.run(280_000)
             val what = "${case.name}, seed $seed"
             assertEquals(emptyList<String>(), day.rules.broken.take(5), what)
@@ -163,6 +165,19 @@
                 upgradeByLeader(20_000, 9_000, leaderFirst = false)
                 limitsFall(85_000)
             },
+            Case("frames between old and new controllers are held while jobs are called off", startsOld = true) {
+                closeLooks = 0.2
+                spell(15_000, 80_000, { weather.heldFrames = 0.01 }, { weather.heldFrames = 0.0 })
+                upgrade(20_000, 8_000, listOf(1, 3, 0, 2, 4))
+                for (ms in 22_000L..80_000L step 6_000) cancelFirstStages(1, ms)
+                for (ms in 24_000L..60_000L step 6_000) {
+                    at(ms) {
+                        val running = cloud.workers.flatMap { it.onMachine() }.map { it.attempt.task.job.value }
+                        running.distinct().take(1).forEach(::cancel)
+                    }
+                }
+                limitsFall(75_000)
+            },
             Case("old processes end and come back old during the upgrade", startsOld = true) {
                 at(24_000) { nodes.filter { it.isOld }.take(2).forEach { end(it, forMs = 2_000, isOld = true) } }
                 upgrade(20_000, 9_000, listOf(0, 1, 2, 3))
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -33,6 +33,9 @@
 class Weather(var lost: Double = 0.0, var late: Double = 0.0, var lateMs: Long = 20_000) {
     /** Shares of transactions that get no answer: carried out at once, or 2 to 12 s later, after newer ones. */
     var unansweredWrites = 0.0
+
+    /** Share of the frames between controllers at which a link begins to hold all of them for 2 to 20 s. */
+    var heldFrames = 0.0
     var lateWrites = 0.0
 
     /** Share of reports of which a copy comes again, up to two leases later. */
@@ -118,11 +121,30 @@
         if (lives != life || core == null) return
         running.offer(Command.Tick)
         for (peer in peers()) {
-            if (peer !== this && reaches(peer)) peer.core?.offer(Command.PeerHeartbeatReceived(running.heartbeat()))
+            if (peer === this) continue
+            val heartbeat = running.heartbeat()
+            deliver(peer, usualMs = 0) { it.offer(Command.PeerHeartbeatReceived(heartbeat)) }
         }
         world.after(50) { tick(life, running) }
     }
 
+    private val heldUntil = HashMap<SimNode, Long>()
+
+    /** In order, also what was held on its way, and also when this process has ended meanwhile. */
+    private fun deliver(peer: SimNode, usualMs: Long, frame: (Core) -> Unit) {
+        if (!reaches(peer)) return
+        val until = heldUntil[peer] ?: 0L
+        if (weather.heldFrames > 0.0 && world.nowMs >= until && world.chance(weather.heldFrames)) {
+            heldUntil[peer] = world.nowMs + world.between(2_000, 20_000)
+        }
+        val delayMs = maxOf((heldUntil[peer] ?: 0L) - world.nowMs, usualMs)
+        if (delayMs == 0L) {
+            peer.core?.let(frame)
+        } else {
+            world.after(delayMs) { if (reaches(peer)) peer.core?.let(frame) }
+        }
+    }
+
     private fun reaches(peer: SimNode) =
         !cut && !peer.cut && !withoutPeers && !peer.withoutPeers && !weather.apart(zone, peer.zone)
 
@@ -153,10 +175,7 @@
     private inner class Ports(private val life: Int) : StatePort, CloudPort, WorkerPort, PeerPort {
         override fun send(label: String, word: CancellationNotice) {
             val peer = peers().first { it.label == label }
-            if (reaches(peer))
-                world.after(1) {
-                    if (reaches(peer)) peer.core?.offer(Command.CancellationNoticeReceived(word))
-                }
+            deliver(peer, usualMs = 1) { it.offer(Command.CancellationNoticeReceived(word)) }
         }
 
         override fun heartbeatChanged() = Unit
