Scale run: one rate limit, named statuses, malformed requests guarded late too

Need: the state service's and the cloud's stand-ins had the same rate limit twice, and a request that was found malformed after the network's delay would have stopped the stand-ins' clock. The first controller starts two seconds before the others, so that it leads at first and runs are alike.

The scale run itself isn't part of the deployed jar.

--- a/src/scale/kotlin/oxbowlug/scale/CloudServer.kt
+++ b/src/scale/kotlin/oxbowlug/scale/CloudServer.kt
@@ -15,61 +15,54 @@
 
 /** The cloud over HTTP: one address for each controller, which is told the worker addresses that are its own. */
 class CloudServer(
-    private val world: World,
+    world: World,
     private val cloud: SimCloud,
     private val network: Network,
     private val traffic: Traffic,
-    private val rps: Double,
+    rps: Double,
 ) {
-    private var tokens = rps * BURST_S
-    private var tokensAt = 0L
+    private val requests = RequestLimit(world, rps, BURST_S)
 
     fun start(vertx: Vertx, topology: Topology): List<Future<*>> = topology.controllers.map { controller ->
         vertx.serveCbor(controller.cloudHost, topology.ports.cloud) { exchange ->
             network.deliver(controller.zone, null) {
-                val (status, body) = answer(exchange, controller, topology.ports.workers)
-                network.deliver(null, controller.zone) { exchange.reply(status, body) }
+                exchange.guarded {
+                    val (status, body) = answer(exchange, controller, topology.ports.workers)
+                    network.deliver(null, controller.zone) { exchange.reply(status, body) }
+                }
             }
         }
     }
 
     private fun answer(exchange: HttpExchange, controller: ControllerPlace, port: Int): Pair<Int, Map<String, Any?>> {
         traffic.cloudCalls++
-        if (!takeToken()) {
+        if (!requests.take()) {
             traffic.cloudRefused++
-            return TOO_MANY to mapOf("error" to "rate")
+            return Status.TOO_MANY to mapOf("error" to "rate")
         }
         return when (exchange.path) {
-            "/machine_types" -> OK to mapOf("breeds" to cloud.types.map(Wire::encodeType))
+            "/machine_types" -> Status.OK to mapOf("breeds" to cloud.types.map(Wire::encodeType))
             "/rentals" ->
                 if (exchange.request.method() == HttpMethod.POST) rent(exchange) else list(exchange, controller, port)
             "/rentals/return" -> {
                 cloud.returnMachines(exchange.body().fields().texts("herd", CloudCodec.MAX_RETURNED).map(::MachineId))
-                OK to emptyMap()
+                Status.OK to emptyMap()
             }
-            else -> NOT_FOUND to emptyMap()
+            else -> Status.NOT_FOUND to emptyMap()
         }
     }
 
-    private fun takeToken(): Boolean {
-        tokens = minOf(rps * BURST_S, tokens + (world.nowMs - tokensAt) * rps / MS)
-        tokensAt = world.nowMs
-        if (tokens < 1.0) return false
-        tokens -= 1.0
-        return true
-    }
-
     private fun rent(exchange: HttpExchange): Pair<Int, Map<String, Any?>> {
         val fields = exchange.body().fields()
         val request = RentalRequest(
             fields.text("hire"), TypeName(fields.text("breed")), Zone(fields.text("paddock")), fields.flag("stray"),
             fields.count("count", 1, CloudCodec.MAX_RENTED.toLong()).toInt(),
         )
-        if (cloud.types.none { it.name == request.type }) return BAD_REQUEST to mapOf("error" to "unknown type")
+        if (cloud.types.none { it.name == request.type }) return Status.BAD_REQUEST to mapOf("error" to "unknown type")
         return when (val outcome = cloud.rent(request)) {
-            is RentalOutcome.Rented -> OK to mapOf("herd" to outcome.machines.map { it.value })
+            is RentalOutcome.Rented -> Status.OK to mapOf("herd" to outcome.machines.map { it.value })
             RentalOutcome.NoCapacity, RentalOutcome.Refused, RentalOutcome.Unanswered ->
-                UNAVAILABLE to mapOf("error" to "no capacity")
+                Status.UNAVAILABLE to mapOf("error" to "no capacity")
         }
     }
 
@@ -82,16 +75,10 @@
             val host = WorkerAddresses.host(WorkerAddresses.numberOf(machine.id.value), controller.index)
             Wire.encodeListed(machine, "$host:$port")
         }
-        return OK to mapOf("herd" to page, "more" to (later.size > limit))
+        return Status.OK to mapOf("herd" to page, "more" to (later.size > limit))
     }
 
     private companion object {
-        const val OK = 200
-        const val BAD_REQUEST = 400
-        const val NOT_FOUND = 404
-        const val TOO_MANY = 429
-        const val UNAVAILABLE = 503
-        const val MS = 1000.0
         const val BURST_S = 2
     }
 }
--- a/src/scale/kotlin/oxbowlug/scale/HollowWorkers.kt
+++ b/src/scale/kotlin/oxbowlug/scale/HollowWorkers.kt
@@ -136,7 +136,7 @@
             traffic.directAnswers.count(size, Traffic.RESPONSE_HEADER_BYTES)
         }
         if (exchange.path == "/status") {
-            return network.deliver(controller.zone, worker.zone) { worker.status { reply(OK, it) } }
+            return network.deliver(controller.zone, worker.zone) { worker.status { reply(Status.OK, it) } }
         }
         val fields = exchange.body().fields()
         val token = Token(fields.count("brand"))
@@ -144,14 +144,12 @@
         val commands = Wire.decodeCommands(fields)
         network.deliver(controller.zone, worker.zone) {
             worker.direct(token, session, commands) { report, executed ->
-                reply(if (executed) OK else CONFLICT, report)
+                reply(if (executed) Status.OK else Status.CONFLICT, report)
             }
         }
     }
 
     private companion object {
         const val ANY_ADDRESS = "0.0.0.0"
-        const val OK = 200
-        const val CONFLICT = 409
     }
 }
--- a/src/scale/kotlin/oxbowlug/scale/HttpExchange.kt
+++ b/src/scale/kotlin/oxbowlug/scale/HttpExchange.kt
@@ -25,6 +25,17 @@
         if (!request.response().ended()) request.response().setStatusCode(status).end(Buffer.buffer(encoded))
         return encoded.size
     }
+
+    /** A malformed request is answered 400, and [action] must not have changed anything by then. */
+    fun guarded(action: () -> Unit) {
+        try {
+            action()
+        } catch (e: InvalidField) {
+            reply(Status.BAD_REQUEST, mapOf("error" to e.message))
+        } catch (e: MalformedBody) {
+            reply(Status.BAD_REQUEST, mapOf("error" to e.message))
+        }
+    }
 }
 
 /** Serves CBOR on one address. A malformed request is answered 400 at once and changes nothing. */
@@ -33,15 +44,7 @@
         .requestHandler { request ->
             request.body().onSuccess { body ->
                 val exchange = HttpExchange(request, body.bytes)
-                try {
-                    handler(exchange)
-                } catch (e: InvalidField) {
-                    exchange.reply(BAD_REQUEST, mapOf("error" to e.message))
-                } catch (e: MalformedBody) {
-                    exchange.reply(BAD_REQUEST, mapOf("error" to e.message))
-                }
+                exchange.guarded { handler(exchange) }
             }
         }
         .listen()
-
-private const val BAD_REQUEST = 400
--- a/src/scale/kotlin/oxbowlug/scale/ScaleRun.kt
+++ b/src/scale/kotlin/oxbowlug/scale/ScaleRun.kt
@@ -75,7 +75,7 @@
     suspend fun play(): ScaleReport {
         listen()
         fleet.boot()
-        controllers.forEach { it.start() }
+        startControllers()
         sampler.start()
         users.start()
         awaitHealthy()
@@ -99,6 +99,14 @@
         Future.all<Any>(servers).coAwait()
     }
 
+    /** The first a little before the others, so that it leads at first and runs are alike. */
+    private suspend fun startControllers() {
+        for ((index, controller) in controllers.withIndex()) {
+            controller.start()
+            if (index == 0) delay(HEAD_START_MS)
+        }
+    }
+
     private suspend fun awaitHealthy() {
         val began = world.nowMs
         while (users.healthyCount < controllers.size) {
@@ -230,6 +238,7 @@
         const val SECOND_MS = 1_000L
         const val LOOK_MS = 100L
         const val START_MS = 60_000L
+        const val HEAD_START_MS = 2_000L
         const val RESTART_MS = 5_000L
         const val APART_MS = 60_000L
         const val PEAK_PART = 2
--- a/src/scale/kotlin/oxbowlug/scale/StateServer.kt
+++ b/src/scale/kotlin/oxbowlug/scale/StateServer.kt
@@ -19,14 +19,13 @@
     private val store: SimStore,
     private val network: Network,
     private val traffic: Traffic,
-    private val rps: Double,
+    rps: Double,
 ) {
-    private var tokens = rps
-    private var tokensAt = 0L
+    private val requests = RequestLimit(world, rps, burstS = 1)
 
     fun start(vertx: Vertx, topology: Topology): List<Future<*>> = topology.controllers.map { controller ->
         vertx.serveCbor(controller.stateHost, topology.ports.state) { exchange ->
-            network.deliver(controller.zone, null) { answer(Call(exchange, controller)) }
+            network.deliver(controller.zone, null) { exchange.guarded { answer(Call(exchange, controller)) } }
         }
     }
 
@@ -39,14 +38,14 @@
             }
         }
 
-        fun replyNow(body: Map<String, Any?>) = network.deliver(null, controller.zone) { exchange.reply(OK, body) }
+        fun replyNow(body: Map<String, Any?>) = network.deliver(null, controller.zone) { exchange.reply(Status.OK, body) }
     }
 
     private fun answer(call: Call) {
         val exchange = call.exchange
-        if (!takeToken()) {
+        if (!requests.take()) {
             traffic.stateRefused++
-            return call.reply(TOO_MANY, mapOf("error" to "rate"))
+            return call.reply(Status.TOO_MANY, mapOf("error" to "rate"))
         }
         val path = exchange.path
         val method = exchange.request.method()
@@ -56,26 +55,18 @@
             path == "/changes" -> changes(call)
             path == "/holds" -> {
                 traffic.stateLeaseCalls++
-                call.reply(OK, mapOf("tether" to store.grant(exchange.body().fields().count("life_ms"))))
+                call.reply(Status.OK, mapOf("tether" to store.grant(exchange.body().fields().count("life_ms"))))
             }
             path.startsWith(HOLDS) && path.endsWith(TOUCH) -> touch(call, path)
             path.startsWith(HOLDS) && method == HttpMethod.DELETE -> {
                 traffic.stateLeaseCalls++
                 path.substring(HOLDS.length).toLongOrNull()?.let(store::release)
-                call.reply(OK, emptyMap())
+                call.reply(Status.OK, emptyMap())
             }
-            else -> call.reply(NOT_FOUND, mapOf("ledger" to store.revision))
+            else -> call.reply(Status.NOT_FOUND, mapOf("ledger" to store.revision))
         }
     }
 
-    private fun takeToken(): Boolean {
-        tokens = minOf(rps, tokens + (world.nowMs - tokensAt) * rps / MS)
-        tokensAt = world.nowMs
-        if (tokens < 1.0) return false
-        tokens -= 1.0
-        return true
-    }
-
     private fun readPage(call: Call) {
         traffic.stateReads++
         val exchange = call.exchange
@@ -89,20 +80,20 @@
             entries.add(encode(entry))
         }
         val more = page.more || entries.size < page.entries.size
-        call.reply(OK, mapOf("entries" to entries, "more" to more, "ledger" to page.revision))
+        call.reply(Status.OK, mapOf("entries" to entries, "more" to more, "ledger" to page.revision))
     }
 
     private fun commit(call: Call) {
         traffic.stateCommits++
         when (val outcome = store.commit(Wire.decodeTransaction(call.exchange.body()))) {
-            is CommitOutcome.Applied -> call.reply(OK, mapOf("ledger" to outcome.revision))
+            is CommitOutcome.Applied -> call.reply(Status.OK, mapOf("ledger" to outcome.revision))
             is CommitOutcome.Conflict ->
-                call.reply(CONFLICT, mapOf("failed" to outcome.failed, "ledger" to store.revision))
-            CommitOutcome.LeaseOver -> call.reply(BAD_REQUEST, mapOf("error" to "no such lease"))
-            CommitOutcome.Invalid -> call.reply(BAD_REQUEST, mapOf("error" to "larger than the limits"))
+                call.reply(Status.CONFLICT, mapOf("failed" to outcome.failed, "ledger" to store.revision))
+            CommitOutcome.LeaseOver -> call.reply(Status.BAD_REQUEST, mapOf("error" to "no such lease"))
+            CommitOutcome.Invalid -> call.reply(Status.BAD_REQUEST, mapOf("error" to "larger than the limits"))
             CommitOutcome.Refused, CommitOutcome.Unanswered -> {
                 traffic.stateRefused++
-                call.reply(TOO_MANY, mapOf("error" to "rate"))
+                call.reply(Status.TOO_MANY, mapOf("error" to "rate"))
             }
         }
     }
@@ -114,11 +105,11 @@
         val waitMs = exchange.parameter("block_ms")?.toLongOrNull() ?: 0L
         if (waitMs == 0L) {
             traffic.stateReads++
-            encode(store.changes(prefix, from))?.let { call.reply(OK, it) } ?: call.reply(GONE, emptyMap())
+            encode(store.changes(prefix, from))?.let { call.reply(Status.OK, it) } ?: call.reply(Status.GONE, emptyMap())
         } else {
             traffic.stateWatches++
             store.watch(prefix, from, minOf(waitMs, MAX_WAIT_MS)) { outcome ->
-                encode(outcome)?.let(call::replyNow) ?: call.reply(GONE, emptyMap())
+                encode(outcome)?.let(call::replyNow) ?: call.reply(Status.GONE, emptyMap())
             }
         }
     }
@@ -132,7 +123,7 @@
         traffic.stateLeaseCalls++
         val id = path.removeSuffix(TOUCH).substring(HOLDS.length).toLongOrNull()
         val isRenewed = id != null && store.touch(id) == TouchOutcome.RENEWED
-        if (isRenewed) call.reply(OK, mapOf("tether" to id)) else call.reply(NOT_FOUND, emptyMap())
+        if (isRenewed) call.reply(Status.OK, mapOf("tether" to id)) else call.reply(Status.NOT_FOUND, emptyMap())
     }
 
     private fun encode(entry: Entry): Map<String, Any?> =
@@ -144,13 +135,6 @@
     }
 
     private companion object {
-        const val OK = 200
-        const val BAD_REQUEST = 400
-        const val NOT_FOUND = 404
-        const val CONFLICT = 409
-        const val GONE = 410
-        const val TOO_MANY = 429
-        const val MS = 1000.0
         const val HOLDS = "/holds/"
         const val TOUCH = "/touch"
         const val MAX_PAGE = 1000
--- a/src/scale/kotlin/oxbowlug/scale/Users.kt
+++ b/src/scale/kotlin/oxbowlug/scale/Users.kt
@@ -51,7 +51,7 @@
     private fun probe(controller: ControllerPlace) {
         call(controller, HttpMethod.GET, "/healthz", null, PROBE_TIMEOUT_MS) { answer ->
             val index = controller.index
-            failures[index] = if (answer?.status == OK) 0 else failures[index] + 1
+            failures[index] = if (answer?.status == Status.OK) 0 else failures[index] + 1
             if (failures[index] == 0) isHealthy[index] = true
             if (failures[index] >= FAILURES_TO_LEAVE) isHealthy[index] = false
         }
@@ -112,12 +112,12 @@
 
     private fun read(answer: Answer, isSubmission: Boolean): UserAnswer? = try {
         when (answer.status) {
-            CREATED -> UserAnswer.Accepted(view(answer.body))
-            OK -> UserAnswer.Known(view(answer.body))
-            BAD_REQUEST -> UserAnswer.Malformed(answer.body["error"].toString())
-            UNPROCESSABLE -> UserAnswer.Rejected(answer.body["error"].toString())
-            NOT_FOUND -> UserAnswer.NotFound.takeIf { !isSubmission }
-            TOO_MANY -> UserAnswer.Overloaded(answer.retryAfterS)
+            Status.CREATED -> UserAnswer.Accepted(view(answer.body))
+            Status.OK -> UserAnswer.Known(view(answer.body))
+            Status.BAD_REQUEST -> UserAnswer.Malformed(answer.body["error"].toString())
+            Status.UNPROCESSABLE -> UserAnswer.Rejected(answer.body["error"].toString())
+            Status.NOT_FOUND -> UserAnswer.NotFound.takeIf { !isSubmission }
+            Status.TOO_MANY -> UserAnswer.Overloaded(answer.retryAfterS)
             else -> UserAnswer.Unavailable(answer.retryAfterS, "")
         }
     } catch (_: InvalidField) {
@@ -199,11 +199,5 @@
         const val GIVE_UP_MS = 60_000L
         const val MS = 1000L
         val POLL_MS = 4_500L..5_500L
-        const val OK = 200
-        const val CREATED = 201
-        const val BAD_REQUEST = 400
-        const val NOT_FOUND = 404
-        const val UNPROCESSABLE = 422
-        const val TOO_MANY = 429
     }
 }
--- a/src/scale/kotlin/oxbowlug/scale/Wire.kt
+++ b/src/scale/kotlin/oxbowlug/scale/Wire.kt
@@ -38,8 +38,8 @@
     )
 
     fun decodeAnswer(status: Int, body: Map<String, Any?>): ReportAnswer = when (status) {
-        200 -> ReportAnswer.Taken(Token(body.fields().countOr("brand", 0)), decodeCommands(body.fields()))
-        421 -> ReportAnswer.Redirect(body.fields().textOrNull("drover"))
+        Status.OK -> ReportAnswer.Taken(Token(body.fields().countOr("brand", 0)), decodeCommands(body.fields()))
+        Status.REDIRECT -> ReportAnswer.Redirect(body.fields().textOrNull("drover"))
         else -> ReportAnswer.Unavailable
     }
 
