--- a/src/scale/kotlin/oxbowlug/scale/StateServer.kt
+++ b/src/scale/kotlin/oxbowlug/scale/StateServer.kt
@@ -25,7 +25,9 @@
 
     fun start(vertx: Vertx, topology: Topology): List<Future<*>> = topology.controllers.map { controller ->
         vertx.serveCbor(controller.stateHost, topology.ports.state) { exchange ->
-            network.deliver(controller.zone, null) { exchange.guarded { answer(Call(exchange, controller)) } }
+            network.deliver(controller.zone, null) {
+                exchange.guarded { answer(Call(exchange, controller)) }
+            }
         }
     }
 
@@ -38,7 +40,8 @@
             }
         }
 
-        fun replyNow(body: Map<String, Any?>) = network.deliver(null, controller.zone) { exchange.reply(Status.OK, body) }
+        fun replyNow(body: Map<String, Any?>) =
+            network.deliver(null, controller.zone) { exchange.reply(Status.OK, body) }
     }
 
     private fun answer(call: Call) {
@@ -105,7 +108,8 @@
         val waitMs = exchange.parameter("block_ms")?.toLongOrNull() ?: 0L
         if (waitMs == 0L) {
             traffic.stateReads++
-            encode(store.changes(prefix, from))?.let { call.reply(Status.OK, it) } ?: call.reply(Status.GONE, emptyMap())
+            val body = encode(store.changes(prefix, from))
+            if (body == null) call.reply(Status.GONE, emptyMap()) else call.reply(Status.OK, body)
         } else {
             traffic.stateWatches++
             store.watch(prefix, from, minOf(waitMs, MAX_WAIT_MS)) { outcome ->
