--- a/src/main/kotlin/oxbowlug/core/RenewalDelegates.kt
+++ b/src/main/kotlin/oxbowlug/core/RenewalDelegates.kt
@@ -3,6 +3,7 @@
 import org.slf4j.LoggerFactory
 import oxbowlug.config.Settings
 import oxbowlug.region.DelegateChoice
+import oxbowlug.region.DelegateChoice.Candidate
 import oxbowlug.wire.Change
 import oxbowlug.wire.Condition
 import oxbowlug.wire.Transaction
@@ -53,7 +54,8 @@
         val present = named[zone]?.member
         if (present != null && members.none { it.label == present.label && it != present }) return
         val candidates = members.filter { it != view.leader && it != present }
-        val next = choice.choose(zone, candidates) { member -> named.values.count { it.member == member } } ?: return
+            .map { member -> Candidate(member, member.label, named.values.count { it.member == member }) }
+        val next = choice.choose(zone, candidates) ?: return
         log.info("{} renews leases for {} if it is cut off", next.label, zone)
         named[zone] = Named(next)
     }
--- a/src/main/kotlin/oxbowlug/plan/Offers.kt
+++ b/src/main/kotlin/oxbowlug/plan/Offers.kt
@@ -161,17 +161,11 @@
         for (zone in zones.indices) {
             val first = column.heap(zone).first
             if (first < 0 || !rule.allows(zones[zone])) continue
-            if (best < 0 || isCheaper(column, first, best)) best = first
+            if (best < 0 || column.isCheaper(first, best)) best = first
         }
         return best
     }
 
-    private fun isCheaper(column: Prices, one: Int, other: Int): Boolean {
-        val cost = column.cost[one]
-        val otherCost = column.cost[other]
-        return cost < otherCost || cost == otherCost && one < other
-    }
-
     /** A stop may give any ready machine room that is coming, so none of them is ever passed over for that. */
     private fun isOpen(machine: PlanMachine, room: Room): Boolean = when (room) {
         Room.READY -> machine.isReady && least.fitsIn(machine.free)
--- a/src/main/kotlin/oxbowlug/plan/RentalPrices.kt
+++ b/src/main/kotlin/oxbowlug/plan/RentalPrices.kt
@@ -19,7 +19,10 @@
         val costs = DoubleArray(2)
     }
 
-    private val types: List<TypeChoices> = snapshot.types.map { type -> TypeChoices(type, choices(type)) }
+    /** Most plans ask for no rental. */
+    private val types: List<TypeChoices> by lazy(LazyThreadSafetyMode.NONE) {
+        snapshot.types.map { type -> TypeChoices(type, choices(type)) }
+    }
     private var pricedFor: PlanJob? = null
     private var pricedLeft = 0
     private var pricedWeight = 0.0
--- a/src/main/kotlin/oxbowlug/plan/index/CostHeap.kt
+++ b/src/main/kotlin/oxbowlug/plan/index/CostHeap.kt
@@ -9,6 +9,13 @@
     /** The present costs, by the machines' indexes; they only change between [update] and [clear]. */
     interface Costs {
         fun of(index: Int): Double
+
+        /** Of equals the one with the lower index comes first, as in a scan. */
+        fun isCheaper(one: Int, other: Int): Boolean {
+            val cost = of(one)
+            val otherCost = of(other)
+            return cost < otherCost || cost == otherCost && one < other
+        }
     }
 
     private var heap = IntArray(INITIAL)
@@ -71,18 +78,12 @@
         places[index] = place + 1
     }
 
-    private fun isBefore(one: Int, other: Int): Boolean {
-        val cost = costs.of(one)
-        val otherCost = costs.of(other)
-        return cost < otherCost || cost == otherCost && one < other
-    }
-
     private fun rise(from: Int) {
         val index = heap[from]
         var place = from
         while (place > 0) {
             val parent = (place - 1) / 2
-            if (!isBefore(index, heap[parent])) break
+            if (!costs.isCheaper(index, heap[parent])) break
             put(place, heap[parent])
             place = parent
         }
@@ -95,8 +96,8 @@
         while (true) {
             var child = place * 2 + 1
             if (child >= size) break
-            if (child + 1 < size && isBefore(heap[child + 1], heap[child])) child++
-            if (!isBefore(heap[child], index)) break
+            if (child + 1 < size && costs.isCheaper(heap[child + 1], heap[child])) child++
+            if (!costs.isCheaper(heap[child], index)) break
             put(place, heap[child])
             place = child
         }
--- a/src/main/kotlin/oxbowlug/region/DelegateChoice.kt
+++ b/src/main/kotlin/oxbowlug/region/DelegateChoice.kt
@@ -1,6 +1,5 @@
 package oxbowlug.region
 
-import oxbowlug.core.Member
 import oxbowlug.wire.Zone
 
 /**
@@ -9,11 +8,16 @@
  * with its leases when regions were apart.
  */
 class DelegateChoice(private val regions: Regions, private val zoneOf: Map<String, Zone>) {
-    /** Null if nobody can. [load] is how many zones a controller is named for already: they are shared out. */
-    fun choose(zone: Zone, candidates: Collection<Member>, load: (Member) -> Int): Member? {
+    /** A controller that may be named; [load] is how many zones it is named for already. */
+    class Candidate<out T>(val controller: T, val label: String, val load: Int)
+
+    /** Null if nobody can. Zones without a controller of their own are shared out. */
+    fun <T> choose(zone: Zone, candidates: List<Candidate<T>>): T? {
         val inZone = candidates.filter { zoneOf[it.label] == zone }
-        if (inZone.isNotEmpty()) return inZone.minByOrNull { it.label }
-        return candidates.filter { member -> zoneOf[member.label]?.let { regions.areTogether(it, zone) } ?: false }
-            .minWithOrNull(compareBy(load).thenBy { it.label })
+        if (inZone.isNotEmpty()) return inZone.minBy { it.label }.controller
+        val inRegion = candidates.filter { candidate ->
+            zoneOf[candidate.label]?.let { regions.areTogether(it, zone) } ?: false
+        }
+        return inRegion.minWithOrNull(compareBy<Candidate<T>> { it.load }.thenBy { it.label })?.controller
     }
 }
--- a/src/scale/kotlin/oxbowlug/scale/CloudServer.kt
+++ b/src/scale/kotlin/oxbowlug/scale/CloudServer.kt
@@ -36,10 +36,7 @@
 
     private fun answer(exchange: HttpExchange, controller: ControllerPlace, port: Int): Pair<Int, Map<String, Any?>> {
         traffic.cloudCalls++
-        if (!requests.take()) {
-            traffic.cloudRefused++
-            return Status.TOO_MANY to mapOf("error" to "rate")
-        }
+        if (!requests.take()) return Status.TOO_MANY to mapOf("error" to "rate")
         return when (exchange.path) {
             "/machine_types" -> Status.OK to mapOf("breeds" to cloud.types.map(Wire::encodeType))
             "/rentals" ->
--- a/src/scale/kotlin/oxbowlug/scale/ScaleRun.kt
+++ b/src/scale/kotlin/oxbowlug/scale/ScaleRun.kt
@@ -141,10 +141,8 @@
             samples.add(
                 Sample(
                     world.nowMs / MS, now.zip(processor) { after, before -> after - before },
-                    controllers.map {
-                        it.latest.residentMb
-                    },
-                    controllers.map { it.latest.sockets }, fleet.tasksRunning(),
+                    controllers.map { it.latest.residentMb }, controllers.map { it.latest.sockets },
+                    fleet.tasksRunning(),
                 ),
             )
             processor = now
--- a/src/scale/kotlin/oxbowlug/scale/Traffic.kt
+++ b/src/scale/kotlin/oxbowlug/scale/Traffic.kt
@@ -34,7 +34,6 @@
     var stateLeaseCalls = 0L
     var stateRefused = 0L
     var cloudCalls = 0L
-    var cloudRefused = 0L
     val stateRequests: Long get() = stateReads + stateWatches + stateCommits + stateLeaseCalls
 
     companion object {
--- a/src/test/kotlin/oxbowlug/region/RegionsTest.kt
+++ b/src/test/kotlin/oxbowlug/region/RegionsTest.kt
@@ -41,7 +41,8 @@
         for (case in cases) {
             val present = members.filter { it.label in case.standing }
             val choice = DelegateChoice(regions, case.standing)
-            val chosen = choice.choose(zones[1], present) { case.loads[members.indexOf(it)] }
+            val candidates = present.map { DelegateChoice.Candidate(it, it.label, case.loads[members.indexOf(it)]) }
+            val chosen = choice.choose(zones[1], candidates)
             assertEquals(case.expected, chosen?.label, case.name)
         }
     }
