--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/CloudServer.kt
@@ -0,0 +1,97 @@
+package oxbowlug.scale
+
+import io.vertx.core.Future
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
+import oxbowlug.core.RentalOutcome
+import oxbowlug.standin.SimCloud
+import oxbowlug.standin.World
+import oxbowlug.wire.CloudCodec
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.RentalRequest
+import oxbowlug.wire.TypeName
+import oxbowlug.wire.Zone
+import oxbowlug.wire.fields
+
+/** The cloud over HTTP: one address for each controller, which is told the worker addresses that are its own. */
+class CloudServer(
+    private val world: World,
+    private val cloud: SimCloud,
+    private val network: Network,
+    private val traffic: Traffic,
+    private val rps: Double,
+) {
+    private var tokens = rps * BURST_S
+    private var tokensAt = 0L
+
+    fun start(vertx: Vertx, topology: Topology): List<Future<*>> = topology.controllers.map { controller ->
+        vertx.serveCbor(controller.cloudHost, topology.ports.cloud) { exchange ->
+            network.deliver(controller.zone, null) {
+                val (status, body) = answer(exchange, controller, topology.ports.workers)
+                network.deliver(null, controller.zone) { exchange.reply(status, body) }
+            }
+        }
+    }
+
+    private fun answer(exchange: HttpExchange, controller: ControllerPlace, port: Int): Pair<Int, Map<String, Any?>> {
+        traffic.cloudCalls++
+        if (!takeToken()) {
+            traffic.cloudRefused++
+            return TOO_MANY to mapOf("error" to "rate")
+        }
+        return when (exchange.path) {
+            "/machine_types" -> OK to mapOf("breeds" to cloud.types.map(Wire::encodeType))
+            "/rentals" ->
+                if (exchange.request.method() == HttpMethod.POST) rent(exchange) else list(exchange, controller, port)
+            "/rentals/return" -> {
+                cloud.returnMachines(exchange.body().fields().texts("herd", CloudCodec.MAX_RETURNED).map(::MachineId))
+                OK to emptyMap()
+            }
+            else -> NOT_FOUND to emptyMap()
+        }
+    }
+
+    private fun takeToken(): Boolean {
+        tokens = minOf(rps * BURST_S, tokens + (world.nowMs - tokensAt) * rps / MS)
+        tokensAt = world.nowMs
+        if (tokens < 1.0) return false
+        tokens -= 1.0
+        return true
+    }
+
+    private fun rent(exchange: HttpExchange): Pair<Int, Map<String, Any?>> {
+        val fields = exchange.body().fields()
+        val request = RentalRequest(
+            fields.text("hire"), TypeName(fields.text("breed")), Zone(fields.text("paddock")), fields.flag("stray"),
+            fields.count("count", 1, CloudCodec.MAX_RENTED.toLong()).toInt(),
+        )
+        if (cloud.types.none { it.name == request.type }) return BAD_REQUEST to mapOf("error" to "unknown type")
+        return when (val outcome = cloud.rent(request)) {
+            is RentalOutcome.Rented -> OK to mapOf("herd" to outcome.machines.map { it.value })
+            RentalOutcome.NoCapacity, RentalOutcome.Refused, RentalOutcome.Unanswered ->
+                UNAVAILABLE to mapOf("error" to "no capacity")
+        }
+    }
+
+    private fun list(exchange: HttpExchange, controller: ControllerPlace, port: Int): Pair<Int, Map<String, Any?>> {
+        val from = exchange.parameter("from").orEmpty()
+        val limit = exchange.parameter("limit")?.toIntOrNull()?.coerceIn(1, CloudCodec.MAX_LISTED)
+            ?: CloudCodec.MAX_LISTED
+        val later = cloud.list().filter { it.id.value > from }
+        val page = later.take(limit).map { machine ->
+            val host = WorkerAddresses.host(WorkerAddresses.numberOf(machine.id.value), controller.index)
+            Wire.encodeListed(machine, "$host:$port")
+        }
+        return OK to mapOf("herd" to page, "more" to (later.size > limit))
+    }
+
+    private companion object {
+        const val OK = 200
+        const val BAD_REQUEST = 400
+        const val NOT_FOUND = 404
+        const val TOO_MANY = 429
+        const val UNAVAILABLE = 503
+        const val MS = 1000.0
+        const val BURST_S = 2
+    }
+}
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/ControllerFiles.kt
@@ -0,0 +1,103 @@
+package oxbowlug.scale
+
+import java.io.File
+
+/** The settings, policy and start command of each controller, as the platform would hand them over. */
+class ControllerFiles(private val options: ScaleOptions, private val topology: Topology, private val fleet: FleetPlan) {
+    private val folder = options.output
+
+    fun processes(): List<ControllerProcess> {
+        folder.mkdirs()
+        val policy = File(folder, "policy.lua")
+        policy.writeText(POLICY)
+        return topology.controllers.map { place ->
+            val settings = File(folder, "${place.label}.toml")
+            settings.writeText(settings(place))
+            val log = File(folder, "${place.label}.log")
+            log.delete()
+            val arguments = listOf(settings.path, "--policy", policy.path)
+            ControllerProcess(place, startCommand() + arguments, log)
+        }
+    }
+
+    /** The deployed one; only its heap may differ. */
+    private fun startCommand(): List<String> {
+        val line = File(DEPLOY_FILE).readLines().firstOrNull { it.startsWith(RUN) }
+            ?: throw StartFailed("$DEPLOY_FILE: has no run command; start in the root of the repository")
+        val words = line.substringAfter('"').substringBeforeLast('"').split(' ')
+        val heap = options.heapMb ?: return words
+        return words.map { word -> if (word.startsWith("-Xmx")) "-Xmx${heap}m" else word }
+    }
+
+    private fun settings(place: ControllerPlace): String = buildString {
+        appendLine("label = \"${place.label}\"")
+        appendLine("location = \"${place.zone}\"")
+        appendLine("client_listen = \"${place.clientHost}:${place.clientPort}\"")
+        appendLine("peer_listen = \"${place.peerHost}:${place.peerPort}\"")
+        for (other in topology.controllers) {
+            if (other === place) continue
+            appendLine("[[others]]")
+            appendLine("label = \"${other.label}\"")
+            appendLine("location = \"${other.zone}\"")
+            appendLine("addr = \"${other.proxyHost(place)}:${topology.ports.peerProxy}\"")
+        }
+        appendLine("[outside]")
+        appendLine("cloud = \"${place.cloudHost}:${topology.ports.cloud}\"")
+        appendLine("state = \"${place.stateHost}:${topology.ports.state}\"")
+        appendLine("[settings]")
+        appendLine("nodes = ${topology.controllers.size}")
+        appendLine("zones = [${topology.zones.joinToString { "\"$it\"" }}]")
+        appendLine("skew_ms = 100.0")
+        appendTeams()
+        appendObjectives()
+        appendLimits()
+    }
+
+    private fun StringBuilder.appendTeams() {
+        for (team in fleet.teams) {
+            appendLine("[[settings.teams]]")
+            appendLine("name = \"${team.name}\"")
+            appendLine("cpus = ${team.guaranteedCores}")
+            appendLine("cpus_max = ${team.maxCores}")
+            appendLine("gpus = ${team.guaranteedGpus}")
+            appendLine("gpus_max = ${team.maxGpus}")
+        }
+    }
+
+    private fun StringBuilder.appendObjectives() {
+        for ((name, withinS) in FleetPlan.WAITS_S) {
+            appendLine("[[settings.objectives]]")
+            appendLine("kind = \"wait\"")
+            appendLine("class = \"$name\"")
+            appendLine("within_s = $withinS")
+            appendLine("share = 0.9")
+        }
+    }
+
+    private fun StringBuilder.appendLimits() {
+        appendLine("[settings.workers]")
+        appendLine("report_s = ${options.reportS}")
+        appendLine("lease_s = ${options.leaseS}")
+        appendLine("cancel_s = ${options.leaseS * CANCEL_LEASES}")
+        appendLine("[settings.state]")
+        appendLine("rps = ${options.stateRps}")
+        appendLine("write_rps = ${options.writeRps}")
+        appendLine("value_kb = ${FleetPlan.VALUE_KB}")
+        appendLine("txn_ops = ${FleetPlan.TXN_OPS}")
+        appendLine("[settings.cloud]")
+        appendLine("rps = ${options.cloudRps}")
+        appendLine("list_lag_s = ${FleetPlan.LIST_LAG_MS / MS}")
+        appendLine("[settings.limits]")
+        appendLine("max_sockets = ${options.maxSockets}")
+    }
+
+    companion object {
+        const val CANCEL_LEASES = 2.4
+        private const val DEPLOY_FILE = "deploy/service.toml"
+        private const val RUN = "run = "
+        private const val MS = 1000.0
+
+        /** Nobody's rent is saved here: a machine that idles for a moment is to stay. */
+        private const val POLICY = "return { idle_boots = 1000 }\n"
+    }
+}
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/ControllerMeters.kt
@@ -0,0 +1,53 @@
+package oxbowlug.scale
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+
+/** What a controller says of itself on `/metrics`: the longest of the last minute or two, in milliseconds. */
+data class ControllerMeters(
+    val isLeading: Boolean,
+    val longestPlanMs: Double,
+    val longestStepMs: Double,
+    val latestTickMs: Double,
+)
+
+/** Reads the controllers' metrics; one that doesn't answer counts as not leading. */
+class MeterReader(vertx: Vertx) {
+    private val client = vertx.createHttpClient(HttpClientOptions().setKeepAlive(false))
+
+    suspend fun read(controller: ControllerPlace): ControllerMeters {
+        val values = try {
+            parse(fetch(controller))
+        } catch (_: Exception) {
+            emptyMap()
+        }
+
+        fun millis(name: String) = (values["oxbowlug_${name}_max"] ?: 0.0) * MS
+        return ControllerMeters(
+            isLeading = values["oxbowlug_leading"] == 1.0,
+            longestPlanMs = millis("plan"),
+            longestStepMs = millis("step"),
+            latestTickMs = millis("queue_delay"),
+        )
+    }
+
+    private suspend fun fetch(controller: ControllerPlace): String {
+        val options = RequestOptions().setMethod(HttpMethod.GET).setURI("/metrics")
+            .setHost(controller.clientHost).setPort(controller.clientPort)
+            .setConnectTimeout(TIMEOUT_MS).setIdleTimeout(TIMEOUT_MS)
+        return client.request(options).coAwait().send().coAwait().body().coAwait().toString()
+    }
+
+    /** Lines such as `oxbowlug_plan_max{statistic="value"} 0.012`. */
+    private fun parse(text: String): Map<String, Double> = text.lines().filter { '{' in it }.associate { line ->
+        line.substringBefore('{') to (line.substringAfterLast(' ').toDoubleOrNull() ?: 0.0)
+    }
+
+    private companion object {
+        const val MS = 1000.0
+        const val TIMEOUT_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/HollowFleet.kt
@@ -0,0 +1,98 @@
+package oxbowlug.scale
+
+import oxbowlug.standin.JobBook
+import oxbowlug.standin.ReportPacing
+import oxbowlug.standin.Rules
+import oxbowlug.standin.SimCloud
+import oxbowlug.standin.SimWorker
+import oxbowlug.standin.World
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.JobSpec
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.Priority
+import oxbowlug.wire.TaskState
+import oxbowlug.wire.Zone
+
+/** The hollow workers and what is known of their jobs. */
+class HollowFleet(
+    private val options: ScaleOptions,
+    private val topology: Topology,
+    private val world: World,
+    private val plan: FleetPlan,
+    private val connections: ReportConnections,
+) : JobBook {
+    private val cancelMs = (options.leaseS * ControllerFiles.CANCEL_LEASES * MS).toLong()
+    val rules = Rules(world, plan.teams.associate { it.name to it.maxGpus }, cancelMs)
+    private val leaseMs = (options.leaseS * MS).toLong()
+    private val reportMs = (options.reportS * MS).toLong()
+    private val runMs = HashMap<String, Long>()
+    private val askedAt = HashMap<String, Long>()
+
+    /** From a user's first attempt to submit until a task of the job runs, for urgent work. */
+    var urgentStart = Durations()
+    var starts = 0L
+        private set
+
+    /** A tenth more than there are at the start can be rented. */
+    private val capacity = options.workers + options.workers / SPARE_PART + 1
+    val cloud = SimCloud(world, plan.types, capacity, FleetPlan.LIST_LAG_MS, ::makeWorker)
+
+    /** All machines are up at the start, and begin to report over one interval. */
+    fun boot() {
+        for (index in 0 until options.workers) {
+            val id = MachineId("host-%06d".format(index))
+            cloud.add(id, plan.typeOf(index), plan.zoneOf(index), spot = false, bootMs = world.between(0, reportMs))
+        }
+        cloud.skipNames(options.workers)
+    }
+
+    private fun makeWorker(id: MachineId, type: MachineType, zone: Zone, spot: Boolean): SimWorker {
+        val number = WorkerAddresses.numberOf(id.value)
+        val targets = connections.targets(number, zone, topology.controllers)
+        return SimWorker(
+            world, this, { targets }, id, type, zone, spot, leaseMs, ReportPacing.AsPublished(reportMs),
+            endpoint = "${WorkerAddresses.host(number, 0)}:${topology.ports.workers}",
+        )
+    }
+
+    fun expect(job: PlannedJob) {
+        val id = job.spec.id.value
+        runMs[id] = job.runMs
+        askedAt[id] = world.nowMs
+    }
+
+    override fun spec(job: String): JobSpec? = rules.jobs[job]?.spec
+
+    override fun runMs(job: String): Long = runMs.getValue(job)
+
+    override fun onStarted(machine: SimWorker, attempt: Attempt) {
+        starts++
+        rules.started(machine, attempt)
+        val id = attempt.task.job.value
+        if (attempt.number == FIRST_ATTEMPT && spec(id)?.priority == Priority.HIGH) {
+            urgentStart.record(world.nowMs - askedAt.getValue(id))
+        }
+    }
+
+    override fun onDone(attempt: Attempt) = rules.done(attempt)
+
+    fun tasksRunning(): Int = cloud.workers.sumOf { worker ->
+        worker.tasks.values.count { it.state == TaskState.RUNNING }
+    }
+
+    fun tasksLostWithLeases(): Int = cloud.workers.sumOf { it.endedByLease }
+
+    /** The longest that any worker has been without an answer that renewed its lease, in milliseconds. */
+    fun longestWithoutRenewal(): Long = up().maxOfOrNull { world.nowMs - it.leaseFrom } ?: 0L
+
+    fun allRenewedSince(moment: Long): Boolean = up().all { it.leaseFrom > moment }
+
+    private fun up(): List<SimWorker> = cloud.workers.filter { it.isUp && it.alive }
+
+    private companion object {
+        const val MS = 1000.0
+        const val FIRST_ATTEMPT = 1L
+        const val SPARE_PART = 10
+    }
+}
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/PeerProxies.kt
@@ -0,0 +1,41 @@
+package oxbowlug.scale
+
+import io.vertx.core.Future
+import io.vertx.core.Vertx
+import io.vertx.core.net.NetSocket
+
+/** The connections between controllers, with the network's latencies and cuts in both directions. */
+class PeerProxies(private val vertx: Vertx, private val network: Network, private val traffic: Traffic) {
+    private val client = vertx.createNetClient()
+
+    fun start(topology: Topology): List<Future<*>> {
+        val pairs = topology.controllers.flatMap { from ->
+            topology.controllers.filter { it !== from }.map { to -> from to to }
+        }
+        return pairs.map { (from, to) ->
+            vertx.createNetServer()
+                .connectHandler { accepted -> connect(accepted, from, to) }
+                .listen(topology.ports.peerProxy, to.proxyHost(from))
+        }
+    }
+
+    private fun connect(accepted: NetSocket, from: ControllerPlace, to: ControllerPlace) {
+        accepted.pause()
+        client.connect(to.peerPort, to.peerHost)
+            .onSuccess { opened ->
+                forward(accepted, opened, from, to)
+                forward(opened, accepted, to, from)
+                accepted.resume()
+            }
+            .onFailure { accepted.close() }
+    }
+
+    private fun forward(source: NetSocket, sink: NetSocket, from: ControllerPlace, to: ControllerPlace) {
+        source.handler { bytes ->
+            traffic.peerBytes.count(bytes.length(), 0)
+            network.deliver(from.zone, to.zone) { sink.write(bytes) }
+        }
+        source.closeHandler { network.deliver(from.zone, to.zone) { sink.close() } }
+        source.exceptionHandler { }
+    }
+}
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/Sampler.kt
@@ -0,0 +1,30 @@
+package oxbowlug.scale
+
+import kotlin.concurrent.thread
+
+/** Reads what the kernel says of the controllers once a second, on a thread of its own. */
+class Sampler(private val controllers: List<ControllerProcess>) {
+    @Volatile
+    private var isRunning = true
+    private val thread = thread(start = false, isDaemon = true, name = "sampler") { loop() }
+
+    fun start() = thread.start()
+
+    fun stop() {
+        isRunning = false
+    }
+
+    private fun loop() {
+        var round = 0
+        while (isRunning) {
+            for (controller in controllers) controller.sample(withSockets = round % SOCKETS_EVERY == 0)
+            round++
+            Thread.sleep(EVERY_MS)
+        }
+    }
+
+    private companion object {
+        const val EVERY_MS = 1_000L
+        const val SOCKETS_EVERY = 3
+    }
+}
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/ScaleOptions.kt
@@ -0,0 +1,178 @@
+package oxbowlug.scale
+
+import joptsimple.OptionException
+import joptsimple.OptionParser
+import joptsimple.OptionSet
+import joptsimple.OptionSpec
+import java.io.File
+import java.util.Locale
+
+/** An argument that can't work; the message begins with its name. */
+class InvalidOption(message: String) : Exception(message)
+
+/** What a run plays, from its arguments. Rates are those of the whole fleet. */
+data class ScaleOptions(
+    val workers: Int,
+    val tasksPerWorker: Double,
+    val tasksPerJob: Int,
+    val controllers: Int,
+    val regions: Int,
+    val zones: Int,
+    val teams: Int,
+    val jobsPerDay: Double,
+    val peakStartsPerSecond: Double,
+    val scenarios: List<Scenario>,
+    val scenarioSeconds: Int?,
+    val stateRps: Double,
+    val writeRps: Double,
+    val cloudRps: Double,
+    val reportS: Double,
+    val leaseS: Double,
+    val heapMb: Int?,
+    val maxSockets: Int,
+    val firstPort: Int,
+    val seed: Long,
+    val output: File,
+) {
+    val targetTasks: Int get() = (workers * tasksPerWorker).toInt()
+}
+
+/** Reads and checks the arguments of a scale run. */
+class ScaleOptionParser {
+    private val parser = OptionParser()
+    private val workers = whole("workers", "hollow workers", 40)
+    private val tasksPerWorker = amount("tasks-per-worker", "tasks running on each worker at ordinary load", 12.3)
+    private val tasksPerJob = whole("tasks-per-job", "replicas of a service at ordinary load", 40)
+    private val controllers = whole("controllers", "controller processes", 3)
+    private val regions = whole("regions", "regions, 25 ms apart", 2)
+    private val zones = whole("zones", "zones, shared out among the regions", 4)
+    private val teams = whole("teams", "teams, each with a limit", 8)
+    private val jobsPerDay = amount("jobs-per-day", "arrivals a day at 6,500 workers, fewer in proportion", 63_000.0)
+    private val peak = amount("peak-starts", "task starts a second at the peak and 6,500 workers", 2_900.0)
+    private val scenarios = parser.accepts("scenarios", "what is played, of: ${Scenario.names}")
+        .withRequiredArg().withValuesSeparatedBy(',').defaultsTo("ordinary", "peak", "leader-killed")
+    private val seconds = parser.accepts("scenario-seconds", "length of each scenario, instead of its own")
+        .withRequiredArg().ofType(Int::class.javaObjectType)
+    private val stateRps = amount("state-rps", "requests a second that the state service takes", 900.0)
+    private val writeRps = amount("write-rps", "changes a second that the state service takes", 70.0)
+    private val cloudRps = amount("cloud-rps", "requests a second that the cloud takes", 6.0)
+    private val reportS = amount("report-s", "seconds between a worker's reports", 2.5)
+    private val leaseS = amount("lease-s", "seconds of a worker's lease", 15.0)
+    private val heapMb = parser.accepts("heap-mb", "heap of each controller, instead of the deployed one")
+        .withRequiredArg().ofType(Int::class.javaObjectType)
+    private val maxSockets = whole("max-sockets", "sockets that a controller may hold; the run fails above", 20_000)
+    private val firstPort = whole("first-port", "first of the six ports used on loopback", 21_000)
+    private val seed = whole("seed", "seed of everything random", 1)
+    private val output = parser.accepts("output", "folder for the reports, the settings and the controllers' logs")
+        .withRequiredArg().defaultsTo("target/scale")
+    private val help = parser.accepts("help", "show this help and end").forHelp()
+
+    private fun whole(name: String, what: String, default: Int): OptionSpec<Int> =
+        parser.accepts(name, what).withRequiredArg().ofType(Int::class.javaObjectType).defaultsTo(default)
+
+    private fun amount(name: String, what: String, default: Double): OptionSpec<Double> =
+        parser.accepts(name, what).withRequiredArg().ofType(Double::class.javaObjectType).defaultsTo(default)
+
+    /** Null when only the help was asked for, which is then printed. */
+    fun parse(arguments: List<String>): ScaleOptions? {
+        val given = try {
+            parser.parse(*arguments.toTypedArray())
+        } catch (e: OptionException) {
+            throw InvalidOption(e.message.orEmpty())
+        }
+        if (given.has(help)) {
+            println("Plays a fleet on loopback: real controllers, hollow workers, a state service and a cloud.\n")
+            parser.printHelpOn(System.out)
+            return null
+        }
+        if (given.nonOptionArguments().isNotEmpty()) {
+            throw InvalidOption("${given.nonOptionArguments().first()}: is not an option")
+        }
+        return checked(read(given))
+    }
+
+    private fun read(given: OptionSet): ScaleOptions {
+        val count = given.valueOf(workers)
+        val share = count / FULL_SIZE
+        return ScaleOptions(
+            workers = count,
+            tasksPerWorker = given.valueOf(tasksPerWorker),
+            tasksPerJob = given.valueOf(tasksPerJob),
+            controllers = given.valueOf(controllers),
+            regions = given.valueOf(regions),
+            zones = given.valueOf(zones),
+            teams = given.valueOf(teams),
+            jobsPerDay = given.valueOf(jobsPerDay) * share,
+            peakStartsPerSecond = given.valueOf(peak) * share,
+            scenarios = given.valuesOf(scenarios).map { name ->
+                Scenario.of(name) ?: throw InvalidOption("scenarios: $name is none of ${Scenario.names}")
+            },
+            scenarioSeconds = given.valueOf(seconds),
+            stateRps = given.valueOf(stateRps),
+            writeRps = given.valueOf(writeRps),
+            cloudRps = given.valueOf(cloudRps),
+            reportS = given.valueOf(reportS),
+            leaseS = given.valueOf(leaseS),
+            heapMb = given.valueOf(heapMb),
+            maxSockets = given.valueOf(maxSockets),
+            firstPort = given.valueOf(firstPort),
+            seed = given.valueOf(seed).toLong(),
+            output = File(given.valueOf(output)),
+        )
+    }
+
+    private fun checked(options: ScaleOptions): ScaleOptions {
+        with(options) {
+            require("workers", workers in 1..MAX_WORKERS, "must be 1 to $MAX_WORKERS")
+            require("controllers", controllers in 1..MAX_CONTROLLERS, "must be 1 to $MAX_CONTROLLERS")
+            require("regions", regions in 1..MAX_REGIONS, "must be 1 to $MAX_REGIONS")
+            require("zones", zones in regions..MAX_ZONES, "must be $regions (one for each region) to $MAX_ZONES")
+            require("teams", teams in 1..MAX_TEAMS, "must be 1 to $MAX_TEAMS")
+            require("tasks-per-worker", tasksPerWorker > 0 && tasksPerWorker <= MAX_TASKS, "must be up to $MAX_TASKS")
+            require("tasks-per-job", tasksPerJob in 1..MAX_JOB_TASKS, "must be 1 to $MAX_JOB_TASKS")
+            require("scenario-seconds", scenarioSeconds == null || scenarioSeconds > 0, "must be more than 0")
+            require("report-s", reportS >= SHORTEST_REPORT_S, "must be at least $SHORTEST_REPORT_S")
+            require("lease-s", leaseS > reportS * 2, "must be more than two reports' time")
+            require("heap-mb", heapMb == null || heapMb >= SMALLEST_HEAP_MB, "must be at least $SMALLEST_HEAP_MB")
+            for ((name, value) in rates()) require(name, value > 0 && value.isFinite(), "must be more than 0")
+            require("first-port", firstPort in FIRST_PORTS, "must be within $FIRST_PORTS")
+            val needed = workers / controllers
+            require("max-sockets", maxSockets > needed, "$workers workers need more than $needed on a controller")
+            val files = openFileLimit()
+            val connections = workers * SOCKETS_PER_WORKER
+            require("workers", connections < files, "need $connections open files, and $files are allowed (ulimit -n)")
+        }
+        return options
+    }
+
+    private fun ScaleOptions.rates() = listOf(
+        "jobs-per-day" to jobsPerDay, "peak-starts" to peakStartsPerSecond, "state-rps" to stateRps,
+        "write-rps" to writeRps, "cloud-rps" to cloudRps,
+    )
+
+    private fun require(option: String, isValid: Boolean, problem: String) {
+        if (!isValid) throw InvalidOption("$option: $problem")
+    }
+
+    /** What the kernel allows this process and those that it starts. */
+    private fun openFileLimit(): Long = File("/proc/self/limits").takeIf { it.canRead() }
+        ?.readLines()?.firstOrNull { it.startsWith("Max open files") }
+        ?.lowercase(Locale.ROOT)?.split(Regex(" {2,}"))?.get(1)?.toLongOrNull() ?: Long.MAX_VALUE
+
+    private companion object {
+        const val FULL_SIZE = 6_500.0
+        const val MAX_WORKERS = 60_000
+        const val MAX_CONTROLLERS = 9
+        const val MAX_REGIONS = 8
+        const val MAX_ZONES = 64
+        const val MAX_TEAMS = 1_000
+        const val MAX_TASKS = 16.0
+        const val MAX_JOB_TASKS = 1_000
+        const val SHORTEST_REPORT_S = 0.5
+        const val SMALLEST_HEAP_MB = 48
+
+        /** Both ends of a report's connection are on this machine, though not in one process. */
+        const val SOCKETS_PER_WORKER = 2
+        val FIRST_PORTS = 1_024..32_000
+    }
+}
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/ScaleRun.kt
@@ -0,0 +1,243 @@
+package oxbowlug.scale
+
+import io.vertx.core.Future
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.delay
+import oxbowlug.config.WriteLimits
+import oxbowlug.core.Keys
+import oxbowlug.core.View
+import oxbowlug.standin.SimStore
+import oxbowlug.standin.World
+import java.util.concurrent.TimeUnit
+
+/** The stand-ins' time follows the real one; how far it fell behind says whether the stand-ins kept up. */
+class RealTime(vertx: Vertx, private val world: World) {
+    private val beganNs = System.nanoTime()
+    var latestMs = 0L
+
+    @Volatile
+    private var isStopped = false
+
+    init {
+        vertx.setPeriodic(STEP_MS) {
+            if (isStopped) return@setPeriodic
+            val now = (System.nanoTime() - beganNs) / NS_PER_MS
+            latestMs = maxOf(latestMs, now - world.nowMs)
+            world.advanceTo(now)
+        }
+    }
+
+    /** Nothing that is due runs any more: what it would use is being closed. */
+    fun stop() {
+        isStopped = true
+    }
+
+    private companion object {
+        const val STEP_MS = 2L
+        const val NS_PER_MS = 1_000_000L
+    }
+}
+
+/**
+ * One run: the stand-ins and users on one event loop of this process, the controllers as processes of their own.
+ * Everything that it starts ends with [close], which may be called from any thread.
+ */
+class ScaleRun(val options: ScaleOptions, private val say: (String) -> Unit) : AutoCloseable {
+    val vertx: Vertx = Vertx.vertx(
+        VertxOptions().setEventLoopPoolSize(1).setBlockedThreadCheckInterval(1)
+            .setBlockedThreadCheckIntervalUnit(TimeUnit.HOURS),
+    )
+    val world = World(options.seed)
+    private val topology = Topology(options)
+    private val network = Network(world, topology)
+    val traffic = Traffic()
+    val store = SimStore(world).apply {
+        limits = WriteLimits(options.writeRps, FleetPlan.VALUE_KB, FleetPlan.TXN_OPS)
+    }
+    private val plan = FleetPlan(options, topology)
+    val fleet = HollowFleet(
+        options, topology, world, plan, ReportConnections(vertx, network, traffic, topology.ports.workers),
+    )
+    val users = Users(vertx, world, topology, network, fleet.rules)
+    val arrivals = Arrivals(options, world, plan, fleet, users)
+    val controllers: List<ControllerProcess> = ControllerFiles(options, topology, plan).processes()
+    private val sampler = Sampler(controllers)
+    private val meters = MeterReader(vertx)
+    val clock = RealTime(vertx, world)
+    private val samples = ArrayList<Sample>()
+    private val results = ArrayList<ScenarioResult>()
+    private var filledInS = 0.0
+    private var window: Window? = null
+
+    /** Runs on the event loop, which owns all state of the stand-ins. */
+    suspend fun play(): ScaleReport {
+        listen()
+        fleet.boot()
+        controllers.forEach { it.start() }
+        sampler.start()
+        users.start()
+        awaitHealthy()
+        checkMalformedReports()
+        observe()
+        fill()
+        arrivals.begin()
+        for (scenario in options.scenarios) {
+            say("playing ${scenario.title}")
+            results.add(play(scenario))
+            say(ScenarioTable.headings.zip(ScenarioTable.cells(results.last())).joinToString { (h, c) -> "$h: $c" })
+        }
+        return report(problem())
+    }
+
+    private suspend fun listen() {
+        val servers = StateServer(world, store, network, traffic, options.stateRps).start(vertx, topology) +
+            CloudServer(world, fleet.cloud, network, traffic, options.cloudRps).start(vertx, topology) +
+            PeerProxies(vertx, network, traffic).start(topology) +
+            WorkerServer(network, traffic, topology, fleet.cloud::at).start(vertx)
+        Future.all<Any>(servers).coAwait()
+    }
+
+    private suspend fun awaitHealthy() {
+        val began = world.nowMs
+        while (users.healthyCount < controllers.size) {
+            val ended = controllers.firstOrNull { !it.isAlive }
+            if (ended != null || world.nowMs - began > START_MS) {
+                val named = ended ?: controllers[0]
+                throw StartFailed("${named.place.label} doesn't serve; its last lines:\n${named.lastLines()}")
+            }
+            delay(LOOK_MS)
+        }
+        say("${controllers.size} controllers serve after ${(world.nowMs - began) / MS} s")
+    }
+
+    /** Guards against a worker that sends nonsense: it is told so at once, by each controller. */
+    private suspend fun checkMalformedReports() {
+        for (controller in controllers) {
+            val status = MalformedReport.send(vertx, controller.place)
+            if (status !in MalformedReport.REFUSALS) {
+                throw StartFailed("${controller.place.label} answers a malformed report with $status")
+            }
+        }
+    }
+
+    private fun observe() {
+        world.every(LOOK_MS) { window?.look() }
+        var processor = controllers.map { it.cpuSeconds }
+        world.every(SECOND_MS) {
+            fleet.rules.check(fleet.cloud.workers)
+            controllers.forEach { it.keepUp() }
+            window?.everySecond()
+            val now = controllers.map { it.cpuSeconds }
+            samples.add(
+                Sample(
+                    world.nowMs / MS, now.zip(processor) { after, before -> after - before },
+                    controllers.map {
+                        it.latest.residentMb
+                    },
+                    controllers.map { it.latest.sockets }, fleet.tasksRunning(),
+                ),
+            )
+            processor = now
+        }
+    }
+
+    /** Submits the standing services as fast as they are accepted, until nearly all of their tasks run. */
+    private suspend fun fill() {
+        val began = world.nowMs
+        val jobs = ArrayDeque(plan.standingJobs())
+        var open = 0
+        while (jobs.isNotEmpty() || open > 0) {
+            while (open < FILL_AT_ONCE && jobs.isNotEmpty()) {
+                open++
+                arrivals.submit(jobs.removeFirst()) { open-- }
+            }
+            if (world.nowMs - began > FILL_MS) break
+            delay(LOOK_MS)
+        }
+        while (fleet.tasksRunning() < options.targetTasks * FILLED && world.nowMs - began < FILL_MS) delay(LOOK_MS)
+        filledInS = (world.nowMs - began) / MS
+        say("${fleet.tasksRunning()} of ${options.targetTasks} tasks run after $filledInS s")
+    }
+
+    private suspend fun play(scenario: Scenario): ScenarioResult {
+        val seconds = options.scenarioSeconds ?: scenario.seconds
+        val opened = Window(this, scenario)
+        window = opened
+        bringAbout(scenario, seconds, opened)
+        val until = opened.startedAt + seconds * SECOND_MS
+        while (world.nowMs < until) delay(LOOK_MS)
+        val read = controllers.map { meters.read(it.place) }
+        window = null
+        return opened.result(read)
+    }
+
+    private fun leader(): ControllerProcess {
+        val view = store.entry(Keys.VIEW)?.let { View.decode(it.value, it.version) }
+        return controllers.firstOrNull { it.place.label == view?.leader?.label } ?: controllers[0]
+    }
+
+    private fun bringAbout(scenario: Scenario, seconds: Int, opened: Window) {
+        val leaseMs = (options.leaseS * MS).toLong()
+        if (scenario != Scenario.ORDINARY && scenario != Scenario.PEAK) opened.failedAt = world.nowMs
+        when (scenario) {
+            Scenario.ORDINARY -> Unit
+            Scenario.PEAK -> arrivals.peak(maxOf(1, seconds / PEAK_PART))
+            Scenario.LEADER_KILLED -> endAndRestart(listOf(leader()))
+            Scenario.CONTROLLER_PAUSED -> pause(leader(), leaseMs + leaseMs / 2)
+            Scenario.ZONE_CUT -> network.cutZone(leader().place.zone, leaseMs * 2)
+            Scenario.REGIONS_APART -> network.cutRegions(Topology.HOME_REGION, 1, APART_MS)
+            Scenario.ALL_ENDED -> endAndRestart(controllers)
+        }
+    }
+
+    private fun endAndRestart(which: List<ControllerProcess>) {
+        which.forEach { it.kill() }
+        world.after(RESTART_MS) { which.forEach { it.start() } }
+    }
+
+    private fun pause(controller: ControllerProcess, forMs: Long) {
+        controller.pause()
+        world.after(forMs) { controller.resume() }
+    }
+
+    private fun problem(): String? {
+        val broken = fleet.rules.broken
+        val crowded = samples.flatMap { it.sockets }.maxOrNull() ?: 0
+        return when {
+            broken.isNotEmpty() -> "${broken.size} times a rule was broken, first: ${broken.first()}"
+            crowded > options.maxSockets -> "a controller held $crowded sockets of ${options.maxSockets}"
+            fleet.starts == 0L -> "no task was started"
+            else -> null
+        }
+    }
+
+    fun report(problem: String?) = ScaleReport(
+        options.workers, options.controllers, options.zones, options.regions, options.teams, options.seed,
+        options.heapMb, filledInS, options.targetTasks, results, samples, problem,
+    )
+
+    override fun close() {
+        clock.stop()
+        sampler.stop()
+        for (controller in controllers) {
+            controller.resume()
+            controller.kill()
+        }
+        vertx.close()
+    }
+
+    private companion object {
+        const val MS = 1000.0
+        const val SECOND_MS = 1_000L
+        const val LOOK_MS = 100L
+        const val START_MS = 60_000L
+        const val RESTART_MS = 5_000L
+        const val APART_MS = 60_000L
+        const val PEAK_PART = 2
+        const val FILL_AT_ONCE = 100
+        const val FILLED = 0.97
+        const val FILL_MS = 240_000L
+    }
+}
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/StateServer.kt
@@ -0,0 +1,163 @@
+package oxbowlug.scale
+
+import io.vertx.core.Future
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
+import oxbowlug.core.ChangesOutcome
+import oxbowlug.core.CommitOutcome
+import oxbowlug.core.TouchOutcome
+import oxbowlug.standin.SimStore
+import oxbowlug.standin.World
+import oxbowlug.wire.Entry
+import oxbowlug.wire.Event
+import oxbowlug.wire.fields
+import oxbowlug.wire.sizeAsJson
+
+/** The state service over HTTP: one address for each controller, one store behind them. */
+class StateServer(
+    private val world: World,
+    private val store: SimStore,
+    private val network: Network,
+    private val traffic: Traffic,
+    private val rps: Double,
+) {
+    private var tokens = rps
+    private var tokensAt = 0L
+
+    fun start(vertx: Vertx, topology: Topology): List<Future<*>> = topology.controllers.map { controller ->
+        vertx.serveCbor(controller.stateHost, topology.ports.state) { exchange ->
+            network.deliver(controller.zone, null) { answer(Call(exchange, controller)) }
+        }
+    }
+
+    private inner class Call(val exchange: HttpExchange, private val controller: ControllerPlace) {
+        /** Usually within a few milliseconds, and a few times in a thousand within some hundred. */
+        fun reply(status: Int, body: Map<String, Any?>) {
+            val pause = if (world.chance(SLOW_SHARE)) world.between(SLOW_MS) else world.between(USUAL_MS)
+            world.after(pause) {
+                network.deliver(null, controller.zone) { exchange.reply(status, body) }
+            }
+        }
+
+        fun replyNow(body: Map<String, Any?>) = network.deliver(null, controller.zone) { exchange.reply(OK, body) }
+    }
+
+    private fun answer(call: Call) {
+        val exchange = call.exchange
+        if (!takeToken()) {
+            traffic.stateRefused++
+            return call.reply(TOO_MANY, mapOf("error" to "rate"))
+        }
+        val path = exchange.path
+        val method = exchange.request.method()
+        when {
+            path == "/store" -> readPage(call)
+            path == "/commit" -> commit(call)
+            path == "/changes" -> changes(call)
+            path == "/holds" -> {
+                traffic.stateLeaseCalls++
+                call.reply(OK, mapOf("tether" to store.grant(exchange.body().fields().count("life_ms"))))
+            }
+            path.startsWith(HOLDS) && path.endsWith(TOUCH) -> touch(call, path)
+            path.startsWith(HOLDS) && method == HttpMethod.DELETE -> {
+                traffic.stateLeaseCalls++
+                path.substring(HOLDS.length).toLongOrNull()?.let(store::release)
+                call.reply(OK, emptyMap())
+            }
+            else -> call.reply(NOT_FOUND, mapOf("ledger" to store.revision))
+        }
+    }
+
+    private fun takeToken(): Boolean {
+        tokens = minOf(rps, tokens + (world.nowMs - tokensAt) * rps / MS)
+        tokensAt = world.nowMs
+        if (tokens < 1.0) return false
+        tokens -= 1.0
+        return true
+    }
+
+    private fun readPage(call: Call) {
+        traffic.stateReads++
+        val exchange = call.exchange
+        val limit = exchange.parameter("limit")?.toIntOrNull()?.coerceIn(1, MAX_PAGE) ?: MAX_PAGE
+        val page = store.read(exchange.parameter("prefix").orEmpty(), exchange.parameter("from"), limit)
+        val entries = ArrayList<Map<String, Any?>>()
+        var bytes = 0
+        for (entry in page.entries) {
+            bytes += entry.value.sizeAsJson() + entry.key.length
+            if (entries.isNotEmpty() && bytes > MAX_PAGE_BYTES) break
+            entries.add(encode(entry))
+        }
+        val more = page.more || entries.size < page.entries.size
+        call.reply(OK, mapOf("entries" to entries, "more" to more, "ledger" to page.revision))
+    }
+
+    private fun commit(call: Call) {
+        traffic.stateCommits++
+        when (val outcome = store.commit(Wire.decodeTransaction(call.exchange.body()))) {
+            is CommitOutcome.Applied -> call.reply(OK, mapOf("ledger" to outcome.revision))
+            is CommitOutcome.Conflict ->
+                call.reply(CONFLICT, mapOf("failed" to outcome.failed, "ledger" to store.revision))
+            CommitOutcome.LeaseOver -> call.reply(BAD_REQUEST, mapOf("error" to "no such lease"))
+            CommitOutcome.Invalid -> call.reply(BAD_REQUEST, mapOf("error" to "larger than the limits"))
+            CommitOutcome.Refused, CommitOutcome.Unanswered -> {
+                traffic.stateRefused++
+                call.reply(TOO_MANY, mapOf("error" to "rate"))
+            }
+        }
+    }
+
+    private fun changes(call: Call) {
+        val exchange = call.exchange
+        val from = exchange.parameter("from")?.toLongOrNull() ?: 0L
+        val prefix = exchange.parameter("prefix").orEmpty()
+        val waitMs = exchange.parameter("block_ms")?.toLongOrNull() ?: 0L
+        if (waitMs == 0L) {
+            traffic.stateReads++
+            encode(store.changes(prefix, from))?.let { call.reply(OK, it) } ?: call.reply(GONE, emptyMap())
+        } else {
+            traffic.stateWatches++
+            store.watch(prefix, from, minOf(waitMs, MAX_WAIT_MS)) { outcome ->
+                encode(outcome)?.let(call::replyNow) ?: call.reply(GONE, emptyMap())
+            }
+        }
+    }
+
+    private fun encode(outcome: ChangesOutcome): Map<String, Any?>? {
+        if (outcome !is ChangesOutcome.Read) return null
+        return mapOf("ledger" to outcome.changes.revision, "events" to outcome.changes.events.map(::encode))
+    }
+
+    private fun touch(call: Call, path: String) {
+        traffic.stateLeaseCalls++
+        val id = path.removeSuffix(TOUCH).substring(HOLDS.length).toLongOrNull()
+        val isRenewed = id != null && store.touch(id) == TouchOutcome.RENEWED
+        if (isRenewed) call.reply(OK, mapOf("tether" to id)) else call.reply(NOT_FOUND, emptyMap())
+    }
+
+    private fun encode(entry: Entry): Map<String, Any?> =
+        mapOf("key" to entry.key, "value" to entry.value, "mark" to entry.version)
+
+    private fun encode(event: Event): Map<String, Any?> {
+        val value = event.value ?: return mapOf("remove" to event.key, "mark" to event.version)
+        return mapOf("set" to event.key, "value" to value, "mark" to event.version)
+    }
+
+    private companion object {
+        const val OK = 200
+        const val BAD_REQUEST = 400
+        const val NOT_FOUND = 404
+        const val CONFLICT = 409
+        const val GONE = 410
+        const val TOO_MANY = 429
+        const val MS = 1000.0
+        const val HOLDS = "/holds/"
+        const val TOUCH = "/touch"
+        const val MAX_PAGE = 1000
+        const val MAX_PAGE_BYTES = 512 * 1024
+        const val MAX_WAIT_MS = 60_000L
+        const val SLOW_SHARE = 0.003
+        val SLOW_MS = 100L..400L
+        val USUAL_MS = 1L..6L
+    }
+}
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/Topology.kt
@@ -0,0 +1,71 @@
+package oxbowlug.scale
+
+import oxbowlug.wire.Zone
+
+/** One controller's place and addresses; every one of them is in 127.0.0.0/8. */
+class ControllerPlace(val index: Int, val zone: Zone, private val firstPort: Int) {
+    val label = "controller-$index"
+    val clientHost = "127.10.$index.1"
+    val clientPort = firstPort
+    val peerHost = "127.10.$index.2"
+    val peerPort = firstPort + 1
+
+    /** Each controller has its own address of each service, so that the stand-ins know who asks. */
+    val stateHost = "127.10.$index.3"
+    val cloudHost = "127.10.$index.4"
+
+    /** Where [from] reaches this controller's peer port, through a proxy that delays and holds. */
+    fun proxyHost(from: ControllerPlace) = "127.11.${from.index}.$index"
+}
+
+/** Which zones there are, in which regions, and where the controllers stand. */
+class Topology(options: ScaleOptions) {
+    val ports = Ports(options.firstPort)
+    val zones: List<Zone> = List(options.zones) { Zone("zone-$it") }
+    private val regionOf: Map<Zone, Int> = zones.withIndex().associate { (index, zone) ->
+        zone to index % options.regions
+    }
+
+    /** Shared out over the regions, and within each over its zones. */
+    val controllers: List<ControllerPlace> = List(options.controllers) { index ->
+        ControllerPlace(index, zones[index % zones.size], options.firstPort)
+    }
+
+    /** State service, cloud, load balancer and users belong to no zone; they are in the first region. */
+    fun region(zone: Zone?): Int = if (zone == null) HOME_REGION else regionOf.getValue(zone)
+
+    class Ports(first: Int) {
+        val state = first + 2
+        val cloud = first + 3
+        val peerProxy = first + 4
+        val workers = first + 5
+    }
+
+    companion object {
+        const val HOME_REGION = 0
+    }
+}
+
+/** A worker's addresses: one for each controller, so that a worker's stand-in knows who commands it. */
+object WorkerAddresses {
+    private const val FIRST_OCTET = 64
+    private const val BYTE = 256
+
+    fun host(number: Int, controller: Int): String =
+        "127.${FIRST_OCTET + controller}.${number / BYTE % BYTE}.${number % BYTE}"
+
+    fun numberOf(machine: String): Int = machine.substringAfterLast('-').toInt()
+
+    /** The controller to which an address was given; null if it is none of ours. */
+    fun controllerOf(host: String): Int? {
+        val octets = host.split('.')
+        val second = octets.getOrNull(1)?.toIntOrNull() ?: return null
+        return (second - FIRST_OCTET).takeIf { octets[0] == "127" && it >= 0 }
+    }
+
+    /** The same worker's address as the cloud's stand-in keeps it. */
+    fun canonical(host: String, port: Int): String {
+        val octets = host.split('.')
+        return "127.$FIRST_OCTET.${octets[2]}.${octets[3]}:$port"
+    }
+}
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/Traffic.kt
@@ -0,0 +1,70 @@
+package oxbowlug.scale
+
+import org.HdrHistogram.Histogram
+
+/** Messages and bytes of one kind, since the run's start. */
+class Flow {
+    var messages = 0L
+        private set
+    var bytes = 0L
+        private set
+
+    fun count(bodyBytes: Int, headerBytes: Int) {
+        messages++
+        bytes += bodyBytes + headerBytes
+    }
+}
+
+/**
+ * What went over the stand-ins' connections. Bodies are counted as they are sent, headers by the length that they have
+ * here; TCP's own are not counted.
+ */
+class Traffic {
+    val reports = Flow()
+    val reportAnswers = Flow()
+    val directCommands = Flow()
+    val directAnswers = Flow()
+    val peerBytes = Flow()
+    var redirects = 0L
+    var unavailable = 0L
+    var failedReports = 0L
+    var stateReads = 0L
+    var stateWatches = 0L
+    var stateCommits = 0L
+    var stateLeaseCalls = 0L
+    var stateRefused = 0L
+    var cloudCalls = 0L
+    var cloudRefused = 0L
+    val stateRequests: Long get() = stateReads + stateWatches + stateCommits + stateLeaseCalls
+
+    companion object {
+        /** `POST /hello` with host, content type and content length, as Vert.x writes them. */
+        const val REQUEST_HEADER_BYTES = 108
+
+        /** The status line with a content length. */
+        const val RESPONSE_HEADER_BYTES = 40
+    }
+}
+
+/** Durations in milliseconds, to two digits. */
+class Durations {
+    private val histogram = Histogram(LONGEST_MS, 2)
+    val count: Long get() = histogram.totalCount
+
+    fun record(millis: Long) = histogram.recordValue(millis.coerceIn(0, LONGEST_MS))
+
+    fun summary() = DurationSummary(
+        histogram.totalCount,
+        histogram.getValueAtPercentile(MEDIAN),
+        histogram.getValueAtPercentile(NINETY_NINE),
+        histogram.maxValue,
+    )
+
+    private companion object {
+        const val LONGEST_MS = 3_600_000L
+        const val MEDIAN = 50.0
+        const val NINETY_NINE = 99.0
+    }
+}
+
+data class DurationSummary(val count: Long, val p50Ms: Long, val p99Ms: Long, val maxMs: Long)
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/Users.kt
@@ -0,0 +1,209 @@
+package oxbowlug.scale
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.http.RequestOptions
+import oxbowlug.core.UserAnswer
+import oxbowlug.standin.Rules
+import oxbowlug.standin.World
+import oxbowlug.wire.Cbor
+import oxbowlug.wire.InvalidField
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobSpecCodec
+import oxbowlug.wire.JobView
+import oxbowlug.wire.MalformedBody
+import oxbowlug.wire.ShownState
+import oxbowlug.wire.fields
+
+/** An answer to a user, or none within the time that users wait. */
+private class Answer(val status: Int, val body: Map<String, Any?>, val retryAfterS: Int)
+
+/** Users behind a load balancer: they submit, repeat what wasn't taken, poll, and cancel. */
+class Users(
+    vertx: Vertx,
+    private val world: World,
+    private val topology: Topology,
+    private val network: Network,
+    private val rules: Rules,
+) {
+    private val client = vertx.createHttpClient(
+        HttpClientOptions().setKeepAlive(true).setDecompressionSupported(false),
+        PoolOptions().setHttp1MaxSize(CONNECTIONS).setMaxWaitQueueSize(-1),
+    )
+    private val isHealthy = BooleanArray(topology.controllers.size)
+    private val failures = IntArray(topology.controllers.size)
+
+    /** From the first attempt to submit until it was accepted. */
+    var acceptance = Durations()
+
+    /** Answers to users by status; 0 stands for none. */
+    val answers = java.util.TreeMap<Int, Long>()
+    var givenUp = 0
+        private set
+    val healthyCount: Int get() = isHealthy.count { it }
+
+    fun start() = world.every(PROBE_MS) { topology.controllers.forEach(::probe) }
+
+    private fun probe(controller: ControllerPlace) {
+        call(controller, HttpMethod.GET, "/healthz", null, PROBE_TIMEOUT_MS) { answer ->
+            val index = controller.index
+            failures[index] = if (answer?.status == OK) 0 else failures[index] + 1
+            if (failures[index] == 0) isHealthy[index] = true
+            if (failures[index] >= FAILURES_TO_LEAVE) isHealthy[index] = false
+        }
+    }
+
+    fun submit(job: PlannedJob, onAccepted: () -> Unit = {}) {
+        rules.jobs[job.spec.id.value] = Rules.Known(job.spec)
+        attempt(job, world.nowMs, onAccepted)
+    }
+
+    private fun attempt(job: PlannedJob, firstAt: Long, onAccepted: () -> Unit) {
+        val id = job.spec.id.value
+        val askedAt = world.nowMs
+        ask(HttpMethod.POST, "/work", JobSpecCodec.encode(job.spec)) { answer ->
+            val told = answer?.let { read(it, isSubmission = true) }
+            if (told != null) rules.told(id, told, askedAt)
+            when {
+                told is UserAnswer.Accepted || told is UserAnswer.Known -> {
+                    acceptance.record(world.nowMs - firstAt)
+                    onAccepted()
+                    pollLater(id)
+                }
+                world.nowMs - firstAt > GIVE_UP_MS || told is UserAnswer.Malformed || told is UserAnswer.Rejected ->
+                    givenUp++
+                else -> world.after(pauseMs(answer)) { attempt(job, firstAt, onAccepted) }
+            }
+        }
+    }
+
+    private fun pauseMs(answer: Answer?): Long = maxOf(RETRY_MS, (answer?.retryAfterS ?: 0) * MS)
+
+    fun cancel(id: JobId) {
+        val job = rules.jobs[id.value] ?: return
+        job.askedToCancel = true
+        val askedAt = world.nowMs
+        ask(HttpMethod.POST, "/work/$id/cancel", emptyMap()) { answer ->
+            val told = answer?.let { read(it, isSubmission = false) }
+            if (told != null) rules.told(id.value, told, askedAt)
+            if (told !is UserAnswer.Known) world.after(pauseMs(answer)) { cancel(id) }
+        }
+    }
+
+    private fun pollLater(id: String) {
+        world.after(world.between(POLL_MS)) {
+            val job = rules.jobs.getValue(id)
+            if (job.finalSince == null) poll(id)
+        }
+    }
+
+    private fun poll(id: String) {
+        val askedAt = world.nowMs
+        ask(HttpMethod.GET, "/work/$id", null, POLL_TIMEOUT_MS) { answer ->
+            val told = answer?.let { read(it, isSubmission = false) }
+            if (told is UserAnswer.Known || told is UserAnswer.NotFound) rules.told(id, told, askedAt)
+            pollLater(id)
+        }
+    }
+
+    private fun read(answer: Answer, isSubmission: Boolean): UserAnswer? = try {
+        when (answer.status) {
+            CREATED -> UserAnswer.Accepted(view(answer.body))
+            OK -> UserAnswer.Known(view(answer.body))
+            BAD_REQUEST -> UserAnswer.Malformed(answer.body["error"].toString())
+            UNPROCESSABLE -> UserAnswer.Rejected(answer.body["error"].toString())
+            NOT_FOUND -> UserAnswer.NotFound.takeIf { !isSubmission }
+            TOO_MANY -> UserAnswer.Overloaded(answer.retryAfterS)
+            else -> UserAnswer.Unavailable(answer.retryAfterS, "")
+        }
+    } catch (_: InvalidField) {
+        null
+    }
+
+    private fun view(body: Map<String, Any?>): JobView {
+        val fields = body.fields()
+        val state = fields.text("stance")
+        return JobView(
+            JobId(fields.text("id")), ShownState.entries.first { it.wire == state },
+            fields.countOr("done", 0).toInt(), fields.countOr("running", 0).toInt(),
+        )
+    }
+
+    /** To one of the healthy controllers, or to any when none is. */
+    private fun ask(
+        method: HttpMethod,
+        path: String,
+        body: Map<String, Any?>?,
+        timeoutMs: Long = ANSWER_MS,
+        done: (Answer?) -> Unit,
+    ) {
+        val healthy = topology.controllers.filter { isHealthy[it.index] }.ifEmpty { topology.controllers }
+        val chosen = healthy[world.between(0, healthy.size - 1L).toInt()]
+        call(chosen, method, path, body, timeoutMs) { answer ->
+            answers.merge(answer?.status ?: 0, 1L, Long::plus)
+            done(answer)
+        }
+    }
+
+    private fun call(
+        controller: ControllerPlace,
+        method: HttpMethod,
+        path: String,
+        body: Map<String, Any?>?,
+        timeoutMs: Long,
+        done: (Answer?) -> Unit,
+    ) {
+        var isOver = false
+
+        fun end(answer: Answer?) {
+            if (isOver) return
+            isOver = true
+            done(answer)
+        }
+        world.after(timeoutMs) { end(null) }
+        network.deliver(null, controller.zone) {
+            val options = RequestOptions().setHost(controller.clientHost).setPort(controller.clientPort)
+                .setMethod(method).setURI(path).setConnectTimeout(timeoutMs).setIdleTimeout(timeoutMs)
+            client.request(options)
+                .compose { request ->
+                    val bytes = Buffer.buffer(if (body == null) ByteArray(0) else Cbor.encode(body))
+                    request.send(bytes).onFailure { request.reset() }
+                }
+                .compose { response -> response.body().map { bytes -> decode(response, bytes) } }
+                .onSuccess { answer -> network.deliver(controller.zone, null) { end(answer) } }
+                .onFailure { network.deliver(controller.zone, null) { end(null) } }
+        }
+    }
+
+    private fun decode(response: HttpClientResponse, bytes: Buffer): Answer {
+        val body = try {
+            Cbor.decode(bytes.bytes)
+        } catch (_: MalformedBody) {
+            emptyMap()
+        }
+        return Answer(response.statusCode(), body, response.getHeader("retry-after")?.toIntOrNull() ?: 0)
+    }
+
+    private companion object {
+        const val CONNECTIONS = 256
+        const val PROBE_MS = 1_000L
+        const val PROBE_TIMEOUT_MS = 1_000L
+        const val FAILURES_TO_LEAVE = 2
+        const val ANSWER_MS = 5_000L
+        const val POLL_TIMEOUT_MS = 2_000L
+        const val RETRY_MS = 1_000L
+        const val GIVE_UP_MS = 60_000L
+        const val MS = 1000L
+        val POLL_MS = 4_500L..5_500L
+        const val OK = 200
+        const val CREATED = 201
+        const val BAD_REQUEST = 400
+        const val NOT_FOUND = 404
+        const val UNPROCESSABLE = 422
+        const val TOO_MANY = 429
+    }
+}
--- a/src/test/kotlin/oxbowlug/sim/Rules.kt
+++ b/src/scale/kotlin/oxbowlug/standin/Rules.kt
@@ -1,4 +1,4 @@
-package oxbowlug.sim
+package oxbowlug.standin
 
 import oxbowlug.core.UserAnswer
 import oxbowlug.wire.Attempt
@@ -68,10 +68,7 @@
             }
         }
         if (inZone > spec.zoneCap) fail("wrong_place", "$attempt is number $inZone of $spec in ${machine.zone}")
-        if (machine.spot && !spec.spot) fail("wrong_place", "$attempt on a spot machine")
-        if (spec.zone != null && spec.zone != machine.zone) fail("wrong_place", "$attempt in ${machine.zone}")
-        val types = spec.types
-        if (types != null && machine.type.name !in types) fail("wrong_place", "$attempt on ${machine.type.name}")
+        checkMachine(machine, attempt, spec)
         val cancelledAt = job.cancelledAt
         if (cancelledAt != null && world.nowMs > cancelledAt + cancelMs) fail("ran_cancelled", "$attempt starts")
         for (needed in ancestors(job)) {
@@ -79,6 +76,13 @@
         }
     }
 
+    private fun checkMachine(machine: SimWorker, attempt: Attempt, spec: JobSpec) {
+        if (machine.spot && !spec.spot) fail("wrong_place", "$attempt on a spot machine")
+        if (spec.zone != null && spec.zone != machine.zone) fail("wrong_place", "$attempt in ${machine.zone}")
+        val types = spec.types
+        if (types != null && machine.type.name !in types) fail("wrong_place", "$attempt on ${machine.type.name}")
+    }
+
     /** All jobs that a job needs, directly or through others. */
     fun ancestors(job: Known): Set<Known> {
         val found = LinkedHashSet<Known>()
--- a/src/test/kotlin/oxbowlug/sim/SimCloud.kt
+++ b/src/scale/kotlin/oxbowlug/standin/SimCloud.kt
@@ -1,4 +1,4 @@
-package oxbowlug.sim
+package oxbowlug.standin
 
 import oxbowlug.core.RentalOutcome
 import oxbowlug.wire.ListedMachine
@@ -72,6 +72,11 @@
         }
     }
 
+    /** Names below this number are taken by machines that were added. */
+    fun skipNames(number: Int) {
+        next = maxOf(next, number)
+    }
+
     fun returnMachines(ids: List<MachineId>) {
         listed = null
         for (id in ids) {
--- a/src/test/kotlin/oxbowlug/sim/SimStore.kt
+++ b/src/scale/kotlin/oxbowlug/standin/SimStore.kt
@@ -1,4 +1,4 @@
-package oxbowlug.sim
+package oxbowlug.standin
 
 import com.fasterxml.jackson.databind.ObjectMapper
 import oxbowlug.config.WriteLimits
@@ -125,7 +125,10 @@
 
     fun changes(prefix: String, from: Long): ChangesOutcome {
         if (from < droppedUpTo) return ChangesOutcome.TooOld
-        return ChangesOutcome.Read(Changes(history.filter { it.version > from && it.key.startsWith(prefix) }, revision))
+        var first = history.size
+        while (first > 0 && history[first - 1].version > from) first--
+        val newer = history.subList(first, history.size)
+        return ChangesOutcome.Read(Changes(newer.filter { it.key.startsWith(prefix) }, revision))
     }
 
     fun watch(prefix: String, from: Long, waitMs: Long, answer: (ChangesOutcome) -> Unit) {
--- a/src/test/kotlin/oxbowlug/sim/World.kt
+++ b/src/scale/kotlin/oxbowlug/standin/World.kt
@@ -1,6 +1,5 @@
-package oxbowlug.sim
+package oxbowlug.standin
 
-import oxbowlug.core.Clock
 import java.util.PriorityQueue
 import kotlin.random.Random
 
@@ -32,6 +31,8 @@
 
     fun between(from: Long, to: Long): Long = random.nextLong(from, to + 1)
 
+    fun between(range: LongRange): Long = between(range.first, range.last)
+
     fun runUntil(endMs: Long) {
         while (true) {
             val next = events.peek() ?: return
@@ -42,15 +43,10 @@
             afterStep()
         }
     }
-}
-
-/** A node's clocks: its steady one drifts, its time of day is off by a constant. */
-class DriftingClock(private val world: World, private val drift: Double, private val offMs: Long) : Clock {
-    override fun steadyMs(): Long = (world.nowMs * (1.0 + drift)).toLong()
-
-    override fun wallMs(): Long = BASE_MS + world.nowMs + offMs
 
-    private companion object {
-        const val BASE_MS = 1_700_000_000_000L
+    /** Follows a clock outside: runs what is due by then, and goes on from that moment. */
+    fun advanceTo(endMs: Long) {
+        runUntil(endMs)
+        nowMs = maxOf(nowMs, endMs)
     }
 }
--- a/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
+++ b/src/test/kotlin/oxbowlug/core/AuthorityTest.kt
@@ -6,8 +6,8 @@
 import org.junit.jupiter.api.Test
 import oxbowlug.config.SettingsFile
 import oxbowlug.sim.DriftingClock
-import oxbowlug.sim.SimStore
-import oxbowlug.sim.World
+import oxbowlug.standin.SimStore
+import oxbowlug.standin.World
 import oxbowlug.wire.JobId
 import oxbowlug.wire.ReadPage
 import oxbowlug.wire.Transaction
--- a/src/test/kotlin/oxbowlug/core/CommitsTest.kt
+++ b/src/test/kotlin/oxbowlug/core/CommitsTest.kt
@@ -6,8 +6,8 @@
 import oxbowlug.config.SettingsFile
 import oxbowlug.config.WriteLimits
 import oxbowlug.sim.DriftingClock
-import oxbowlug.sim.SimStore
-import oxbowlug.sim.World
+import oxbowlug.standin.SimStore
+import oxbowlug.standin.World
 import oxbowlug.wire.Cbor
 import oxbowlug.wire.Change
 import oxbowlug.wire.JobId
--- a/src/test/kotlin/oxbowlug/core/DependenciesTest.kt
+++ b/src/test/kotlin/oxbowlug/core/DependenciesTest.kt
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.Test
 import oxbowlug.config.SettingsFile
 import oxbowlug.sim.DriftingClock
-import oxbowlug.sim.World
+import oxbowlug.standin.World
 import oxbowlug.wire.Cbor
 import oxbowlug.wire.Changes
 import oxbowlug.wire.Event
--- a/src/test/kotlin/oxbowlug/core/TestDoubles.kt
+++ b/src/test/kotlin/oxbowlug/core/TestDoubles.kt
@@ -1,6 +1,6 @@
 package oxbowlug.core
 
-import oxbowlug.sim.SimStore
+import oxbowlug.standin.SimStore
 import oxbowlug.wire.JobId
 import oxbowlug.wire.ReadPage
 import oxbowlug.wire.Transaction
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/scale/NetworkTest.kt
@@ -0,0 +1,73 @@
+package oxbowlug.scale
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import oxbowlug.standin.World
+import oxbowlug.wire.Zone
+
+class NetworkTest {
+    private val world = World(1)
+    private val options = ScaleOptionParser().parse(listOf("--zones", "4", "--regions", "2", "--controllers", "3"))
+        ?: error("only the help")
+    private val topology = Topology(options)
+    private val network = Network(world, topology)
+
+    private fun arrivals(from: Zone?, to: Zone?): Long {
+        var at = -1L
+        network.deliver(from, to) { at = world.nowMs }
+        world.advanceTo(world.nowMs + 60_000)
+        return at
+    }
+
+    @Test
+    fun `latency grows from a zone to its region to another region`() {
+        val (first, _, third, _) = topology.zones
+        val other = topology.zones[1]
+        val began = world.nowMs
+        val inZone = arrivals(first, first) - began
+        val again = world.nowMs
+        val inRegion = arrivals(first, third) - again
+        val last = world.nowMs
+        val toOther = arrivals(first, other) - last
+        assertTrue(inZone < inRegion && inRegion < toOther, "$inZone, $inRegion and $toOther ms")
+    }
+
+    @Test
+    fun `a cut holds messages and delivers them in order when it ends`() {
+        val (first, second) = topology.zones
+        network.cutZone(second, forMs = 5_000)
+        val order = ArrayList<Pair<Int, Long>>()
+        for (number in 1..3) {
+            world.after(number * 100L) { network.deliver(first, second) { order.add(number to world.nowMs) } }
+        }
+        world.advanceTo(4_999)
+        assertEquals(emptyList<Int>(), order.map { it.first })
+        world.after(2) { network.deliver(first, second) { order.add(4 to world.nowMs) } }
+        world.advanceTo(6_000)
+        assertEquals(listOf(1, 2, 3, 4), order.map { it.first })
+        assertTrue(order.all { it.second >= 5_000 })
+        assertEquals(3, network.held)
+    }
+
+    @Test
+    fun `regions apart still reach what is in their own`() {
+        val (home, away) = topology.zones
+        network.cutRegions(0, 1, forMs = 60_000)
+        assertTrue(network.isCut(home, away))
+        assertTrue(network.isCut(away, null), "the regional services are in the first region")
+        assertTrue(!network.isCut(home, null))
+        assertTrue(!network.isCut(away, topology.zones[3]))
+        world.advanceTo(60_001)
+        assertTrue(!network.isCut(home, away))
+    }
+
+    @Test
+    fun `a worker's address tells who commands it and which worker is meant`() {
+        val host = WorkerAddresses.host(number = 6_499, controller = 5)
+        assertEquals(5, WorkerAddresses.controllerOf(host))
+        assertEquals("${WorkerAddresses.host(6_499, 0)}:9000", WorkerAddresses.canonical(host, 9_000))
+        assertEquals(null, WorkerAddresses.controllerOf("10.64.0.1"))
+        assertEquals(null, WorkerAddresses.controllerOf("127.0.0.1"))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/DriftingClock.kt
@@ -0,0 +1,15 @@
+package oxbowlug.sim
+
+import oxbowlug.core.Clock
+import oxbowlug.standin.World
+
+/** A node's clocks: its steady one drifts, its time of day is off by a constant. */
+class DriftingClock(private val world: World, private val drift: Double, private val offMs: Long) : Clock {
+    override fun steadyMs(): Long = (world.nowMs * (1.0 + drift)).toLong()
+
+    override fun wallMs(): Long = BASE_MS + world.nowMs + offMs
+
+    private companion object {
+        const val BASE_MS = 1_700_000_000_000L
+    }
+}
--- a/src/test/kotlin/oxbowlug/sim/GapTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/GapTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
+import oxbowlug.standin.SimWorker
 import oxbowlug.wire.Attempt
 import oxbowlug.wire.JobKind
 
--- a/src/test/kotlin/oxbowlug/sim/MeetingsTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/MeetingsTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import oxbowlug.standin.SimWorker
 import oxbowlug.wire.Attempt
 import oxbowlug.wire.JobKind
 
--- a/src/test/kotlin/oxbowlug/sim/Serving.kt
+++ b/src/test/kotlin/oxbowlug/sim/Serving.kt
@@ -1,5 +1,8 @@
 package oxbowlug.sim
 
+import oxbowlug.standin.Rules
+import oxbowlug.standin.SimWorker
+import oxbowlug.standin.World
 import oxbowlug.wire.JobKind
 import oxbowlug.wire.ShownState
 
