--- a/src/scale/kotlin/oxbowlug/standin/Rules.kt
+++ b/src/scale/kotlin/oxbowlug/standin/Rules.kt
@@ -8,7 +8,13 @@
 import oxbowlug.wire.ShownState
 
 /** The protocol's rules, checked against what the workers and the users really see. */
-class Rules(private val world: World, private val limits: Map<String, Double>, private val cancelMs: Long) {
+class Rules(
+    private val world: World,
+    private val limits: Map<String, Double>,
+    private val cancelMs: Long,
+    /** Whether a stored record names the attempt: only then does whoever leads next know of it. */
+    private val isStored: (Attempt) -> Boolean = { true },
+) {
     class Known(val spec: JobSpec) {
         /** When a user was first told that it is known. */
         var acceptedAt: Long? = null
@@ -69,6 +75,7 @@
         }
         if (inZone > spec.zoneCap) fail("wrong_place", "$attempt is number $inZone of $spec in ${machine.zone}")
         checkMachine(machine, attempt, spec)
+        if (!isStored(attempt)) fail("orphaned", "$attempt starts on ${machine.id}, and no stored record names it")
         val cancelledAt = job.cancelledAt
         if (cancelledAt != null && world.nowMs > cancelledAt + cancelMs) fail("ran_cancelled", "$attempt starts")
         for (needed in ancestors(job)) {
@@ -122,6 +129,19 @@
         }
     }
 
+    private val unstoredSince = HashMap<Pair<SimWorker, Attempt>, Long>()
+
+    /** Tasks that run on, though no controller could learn of them from what is stored. */
+    fun checkStored(workers: List<SimWorker>) {
+        val running = workers.flatMap { worker -> worker.onMachine().map { worker to it.attempt } }
+        val unstored = running.filterNot { (_, attempt) -> isStored(attempt) }
+        unstoredSince.keys.retainAll(unstored.toSet())
+        for (one in unstored) {
+            val since = unstoredSince.getOrPut(one) { world.nowMs }
+            if (world.nowMs - since > cancelMs) fail("orphaned", "${one.second} runs on ${one.first.id}, stored nowhere")
+        }
+    }
+
     /** What a user was told who had asked at [askedMs]. */
     fun told(id: String, answer: UserAnswer, askedMs: Long) {
         val job = jobs[id]
--- a/src/test/kotlin/oxbowlug/core/CommitsTest.kt
+++ b/src/test/kotlin/oxbowlug/core/CommitsTest.kt
@@ -30,10 +30,15 @@
     private val spec = JobSpecCodec.decode(JobSpecCodecTest.valid())
     private val sent = ArrayList<Transaction>()
 
+    /** Not null: transactions wait here until the test carries them out, or answers them. */
+    private var held: ArrayList<Held>? = null
+
+    private class Held(val transaction: Transaction, val answer: (CommitOutcome) -> Unit)
+
     private inner class Port : ImmediateStatePort(store) {
         override fun commit(transaction: Transaction, done: (CommitOutcome) -> Unit) {
             sent.add(transaction)
-            super.commit(transaction, done)
+            held?.add(Held(transaction, done)) ?: super.commit(transaction, done)
         }
     }
 
@@ -157,4 +162,32 @@
         flush(2)
         assertEquals(10, stored("big").placements.size, "with fewer placements it fits")
     }
+
+    /** As the watch does it, before or after the answer to the write. */
+    private fun watchBrings(id: String) {
+        val head = store.entry(Keys.job(id)) ?: error("$id is stored")
+        val whole = RecordLayout.merge(head.value) { store.entry(Keys.part(id, it))?.value }
+        fleet.takeJob(JobId(id), StoredJob.read(whole, head.version), whole)
+    }
+
+    @Test
+    fun `the slow answer to one write isn't taken for that to the next one`() {
+        lead(isSwitchedOn = true, record("job", 4))
+        val waiting = ArrayList<Held>().also { held = it }
+        place("job", 0..0)
+        commits.flush()
+        store.commit(waiting[0].transaction)
+        watchBrings("job")
+        place("job", 1..1)
+        commits.flush()
+        assertEquals(2, waiting.size, "the second write is on its way")
+        waiting[0].answer(CommitOutcome.Applied(store.revision))
+        val job = fleet.jobs.getValue(JobId("job"))
+        assertEquals(listOf(true, false), job.live.values.map { it.committed }, "what may be started")
+        waiting[1].answer(CommitOutcome.Refused)
+        held = null
+        flush(2)
+        assertEquals(setOf(0, 1), stored("job").placements.keys, "what was refused is written again")
+        assertEquals(listOf(true, true), job.live.values.map { it.committed })
+    }
 }
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -39,6 +39,12 @@
     /** Shares of transactions that get no answer: carried out at once, or 2 to 12 s later, after newer ones. */
     var unansweredWrites = 0.0
 
+    /** Share of the answered transactions whose answer takes 50 ms to 1.5 s, while the watch brings the change at once. */
+    var slowAnswers = 0.0
+
+    /** Share of transactions that the state service refuses for their rate. */
+    var refusedWrites = 0.0
+
     /** Share of the frames between controllers at which a link begins to hold all of them for 2 to 20 s. */
     var heldFrames = 0.0
     var lateWrites = 0.0
@@ -250,9 +256,17 @@
                 val delayMs = if (atOnce) world.between(1, 5) else world.between(2_000, 12_000)
                 return world.after(delayMs) { if (!store.down) store.commit(written) }
             }
+            if (world.chance(weather.refusedWrites)) return settle(world.between(1, 10), CommitOutcome.Refused, done)
+            if (stateUp() && !cut && world.chance(weather.slowAnswers)) return commitAnsweredLate(written, done)
             call(::stateUp, CommitOutcome.Refused, CommitOutcome.Unanswered, done) { store.commit(written) }
         }
 
+        private fun commitAnsweredLate(transaction: Transaction, done: (CommitOutcome) -> Unit) =
+            world.after(world.between(1, 5)) {
+                val outcome = if (store.down) CommitOutcome.Refused else store.commit(transaction)
+                settle(world.between(50, 1_500), outcome, done)
+            }
+
         override fun readPage(prefix: String, after: String?, done: (ReadPage?) -> Unit) =
             call<ReadPage?>(::stateUp, null, null, done) {
                 store.read(prefix, after, 7).let { if (runsOld) OldVersion.reads(it) else it }
--- a/src/test/kotlin/oxbowlug/sim/Simulation.kt
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -11,7 +11,9 @@
 import oxbowlug.config.WorkerSettings
 import oxbowlug.config.WriteLimits
 import oxbowlug.core.Command
+import oxbowlug.core.JobRecord
 import oxbowlug.core.Keys
+import oxbowlug.core.RecordLayout
 import oxbowlug.core.UserAnswer
 import oxbowlug.standin.JobBook
 import oxbowlug.standin.ReportPacing
@@ -23,6 +25,7 @@
 import oxbowlug.wire.Attempt
 import oxbowlug.wire.ClassName
 import oxbowlug.wire.ImageName
+import oxbowlug.wire.InvalidField
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobKind
 import oxbowlug.wire.JobSpec
@@ -78,7 +81,7 @@
 
     /** Machines are up after this long instead of their types' time. */
     var bootMs: Long? by cloud::bootMs
-    val rules = Rules(world, shape.teamLimits, CANCEL_MS)
+    val rules = Rules(world, shape.teamLimits, CANCEL_MS, ::isStored)
     val serving = Serving(world, rules, { cloud.workers }, shape.teamLimits, shape.calmFromMs)
     val nodes: List<SimNode> = List(shape.nodes) { index ->
         SimNode(world, settings(index), store, cloud, weather, ::byEndpoint, ::peers)
@@ -99,12 +102,24 @@
         }
         for (node in nodes) world.after(world.between(0, 300)) { node.start() }
         world.every(100) { bringKept() }
+        world.every(1_000) { rules.checkStored(cloud.workers) }
         serving.watch()
         repeat(shape.jobsAtStart) {
             world.after(world.between(2_000, 6_000)) { submitNext() }
         }
     }
 
+    private fun isStored(attempt: Attempt): Boolean {
+        val id = attempt.task.job.value
+        val head = store.entry(Keys.job(id))?.value ?: return false
+        return try {
+            val whole = RecordLayout.merge(head) { store.entry(Keys.part(id, it))?.value }
+            JobRecord.decode(whole).placements[attempt.task.index]?.attempt == attempt.number
+        } catch (_: InvalidField) {
+            false
+        }
+    }
+
     private fun peers() = nodes
 
     private fun byEndpoint(address: Address) = cloud.at(address.toString())
