An answered transaction settles only the writes that it carried

Cause: Commits settled "the pending write of the job" when a transaction was answered. With the watch ahead of a slow answer, the next write was pending by then: it was marked as stored, its starts went out, and when it was refused nobody wrote it again. The record lacked the attempt, or mixed a head of one write with parts of another.

Change: the outcome carries the records that were sent; a job takes it only for the record that is on its way.

--- a/src/main/kotlin/oxbowlug/core/Commits.kt
+++ b/src/main/kotlin/oxbowlug/core/Commits.kt
@@ -144,48 +144,54 @@
         }
     }
 
-    private fun take(outcome: CommitOutcome, prepared: List<Prepared>) {
+    private fun take(outcome: CommitOutcome, group: List<Prepared>) {
         val now = clock.steadyMs()
-        val group = prepared.map { it.job }
         when (outcome) {
-            is CommitOutcome.Applied -> for (job in group) {
+            is CommitOutcome.Applied -> for (prepared in group) {
                 // The watch may have brought the write before its answer did.
-                job.written(outcome.revision)
-                for (placed in job.live.values) if (placed.seen == null) fleet.pokes.add(placed.machine)
-                if (job.phase == Phase.CANCELLED) for (placed in job.live.values) fleet.pokes.add(placed.machine)
+                prepared.job.written(prepared.record, outcome.revision)
+                pokeAfterWrite(prepared.job)
             }
             is CommitOutcome.Conflict -> {
                 if (Keys.VIEW in outcome.failed) {
                     log.info("the view has changed, this leader is deposed")
                     deposed = true
                 }
-                for (job in group) if (job.isWriting) job.notWritten(now)
+                writeAgain(group, now)
                 notBefore = now + timing.catchUpGapMs
                 replica.catchUp {}
             }
             CommitOutcome.Refused -> {
-                for (job in group) if (job.isWriting) job.notWritten(now)
+                writeAgain(group, now)
                 notBefore = now + timing.retryMs()
             }
-            CommitOutcome.Invalid, CommitOutcome.LeaseOver -> refuseSize(prepared, now)
-            CommitOutcome.Unanswered -> {
-                // It may have been applied, or may be later: read, then write again under the same versions.
-                replica.catchUp { for (job in group) if (job.isWriting) job.notWritten(clock.steadyMs()) }
-            }
+            CommitOutcome.Invalid, CommitOutcome.LeaseOver -> refuseSize(group, now)
+            // It may have been applied, or may be later: read, then write again under the same versions.
+            CommitOutcome.Unanswered -> replica.catchUp { writeAgain(group, clock.steadyMs()) }
+        }
+    }
+
+    private fun pokeAfterWrite(job: Job) {
+        for (placed in job.live.values) {
+            if (placed.seen == null || job.phase == Phase.CANCELLED) fleet.pokes.add(placed.machine)
         }
     }
 
+    private fun writeAgain(group: List<Prepared>, now: Long) {
+        for (prepared in group) prepared.job.notWritten(prepared.record, now)
+    }
+
     /** Sent again unchanged it would be refused for ever: first each job alone, then with what can be taken back. */
-    private fun refuseSize(prepared: List<Prepared>, now: Long) {
-        for (each in prepared) if (each.job.isWriting) each.job.notWritten(now)
+    private fun refuseSize(group: List<Prepared>, now: Long) {
+        writeAgain(group, now)
         // Written whole just before the format was switched on, they are divided the next time.
-        val isOutdated = replica.writableFormat == WritableFormat.HEAD_AND_PARTS && prepared.none { it.isDivided }
+        val isOutdated = replica.writableFormat == WritableFormat.HEAD_AND_PARTS && group.none { it.isDivided }
         if (isOutdated) return
-        if (prepared.size > 1) {
-            log.error("the state service refused a transaction of {} records for its size", prepared.size)
-            for (each in prepared) each.job.isWrittenAlone = true
+        if (group.size > 1) {
+            log.error("the state service refused a transaction of {} records for its size", group.size)
+            for (prepared in group) prepared.job.isWrittenAlone = true
         } else {
-            for (each in prepared) makeSmaller(each.job, now)
+            for (prepared in group) makeSmaller(prepared.job, now)
         }
     }
 
--- a/src/main/kotlin/oxbowlug/core/Job.kt
+++ b/src/main/kotlin/oxbowlug/core/Job.kt
@@ -188,8 +188,13 @@
         isUrgent = false
     }
 
-    fun written(revision: Long) {
-        val record = pendingRecord ?: return
+    /** Whether [record] is the write on its way: the watch may have settled it, and another one have begun. */
+    fun isWriting(record: JobRecord): Boolean = pendingRecord === record
+
+    /** [record] is stored at [revision]. An answer that comes after the watch has brought the same changes nothing. */
+    fun written(record: JobRecord, revision: Long) {
+        // Found with slow answers: taken for the next write, this one had starts sent that no stored record named.
+        if (!isWriting(record)) return
         pendingRecord = null
         version = maxOf(version, revision)
         stored = record.placements
@@ -214,8 +219,10 @@
         touch(now, urgent = false)
     }
 
-    /** Surely not written, or not known: it is written again, under the same condition on the version. */
-    fun notWritten(now: Long) {
+    /** [record] is surely not written, or it isn't known: written again, under the same condition on the version. */
+    fun notWritten(record: JobRecord, now: Long) {
+        // Taken for the next write, which may be stored, a third one would begin beside it.
+        if (!isWriting(record)) return
         pendingRecord = null
         touch(now, urgent = true)
     }
@@ -227,7 +234,7 @@
      */
     fun foreignWrite(record: JobRecord, newVersion: Long, now: Long): Boolean {
         val pending = pendingRecord
-        if (pending != null && record.write == pending.write) written(newVersion)
+        if (pending != null && record.write == pending.write) written(pending, newVersion)
         version = newVersion
         stored = record.placements
         if (record.partCount != storedParts.size) {
--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -187,8 +187,7 @@
         hello(report(1, tasks = listOf(task(TaskState.EXITED, ExitCause.DONE))))
         assertEquals(1, job.done.cardinality())
         assertEquals(emptyList<WorkerCommand>(), commands(), "its record still names it")
-        job.begin("w2")
-        job.written(8)
+        job.written(job.begin("w2"), 8)
         assertEquals(listOf(WorkerCommand.Forget(attempt)), commands())
     }
 
@@ -217,8 +216,7 @@
         hello(report(1))
         fleet.place(job, 0, fleet.machines.getValue(machine))
         assertEquals(emptyList<WorkerCommand>(), commands())
-        job.begin("w2")
-        job.written(8)
+        job.written(job.begin("w2"), 8)
         assertEquals(listOf(WorkerCommand.Start(Attempt(TaskId(spec.id, 0), 2))), commands())
     }
 
@@ -231,7 +229,7 @@
         val written = job.begin("w2")
         take(written, 8)
         assertEquals(Phase.DONE, job.phase)
-        job.written(8)
+        job.written(written, 8)
         assertEquals(Phase.DONE, job.phase)
     }
 
@@ -248,7 +246,7 @@
     fun `a late write of ours that was applied after all counts over what we planned since`() {
         take(record(placed = false), 7)
         hello(report(1))
-        job.notWritten(clock.now)
+        job.notWritten(job.begin("w2"), clock.now)
         take(record(write = "late"), 8)
         assertTrue(isHeld)
         assertEquals(1, job.live.getValue(0).number)
