--- /dev/null
+++ b/src/test/kotlin/oxbowlug/core/CancellationEnforcerTest.kt
@@ -0,0 +1,161 @@
+package oxbowlug.core
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import oxbowlug.config.Address
+import oxbowlug.config.SettingsFile
+import oxbowlug.standin.SimStore
+import oxbowlug.standin.World
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.Change
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobSpecCodec
+import oxbowlug.wire.JobSpecCodecTest
+import oxbowlug.wire.ListedMachine
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineState
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.RentalRequest
+import oxbowlug.wire.ReportedTask
+import oxbowlug.wire.TaskId
+import oxbowlug.wire.TaskState
+import oxbowlug.wire.Token
+import oxbowlug.wire.Transaction
+import oxbowlug.wire.TypeName
+import oxbowlug.wire.WorkerCommand
+import oxbowlug.wire.WorkerReport
+import oxbowlug.wire.Zone
+import java.util.BitSet
+import kotlin.random.Random
+
+/** What a follower does about cancelled work on a machine that several cancelled jobs share, with nobody leading. */
+class CancellationEnforcerTest {
+    private val settings = SettingsFile.parse(SettingsTexts.valid)
+    private val timing = Timing(settings, Random(1))
+    private val world = World(1)
+    private val store = SimStore(world)
+    private val self = Member("n0", "x")
+    private val host = MachineId("host-000001")
+    private val first = JobId("run-000001")
+    private val second = JobId("run-000002")
+
+    private val clock = object : Clock {
+        var now = 100_000L
+
+        override fun steadyMs() = now
+
+        override fun wallMs() = now
+    }
+
+    /** Attempts that run on the machine. */
+    private val running = LinkedHashSet<Attempt>()
+    private var obeys = true
+    private val returned = ArrayList<MachineId>()
+
+    private fun account() = WorkerReport(
+        host, ENDPOINT, TypeName("g8"), Zone("a"), false, 1, 1, Token(1), null,
+        running.map { ReportedTask(it, TaskState.RUNNING, null, false) },
+    )
+
+    private val workers = object : WorkerPort {
+        override fun status(endpoint: Address, done: (WorkerReport?) -> Unit) = done(account())
+
+        override fun command(
+            endpoint: Address,
+            token: Token,
+            session: Long,
+            commands: List<WorkerCommand>,
+            done: (DirectOutcome) -> Unit,
+        ) {
+            if (!obeys) return done(DirectOutcome.Unanswered)
+            running.removeAll(commands.filterIsInstance<WorkerCommand.Stop>().map { it.attempt }.toSet())
+            done(DirectOutcome.Answered(account(), executed = true))
+        }
+    }
+
+    private val cloud = object : CloudPort {
+        override fun types(done: (List<MachineType>?) -> Unit) = done(emptyList())
+
+        override fun rent(request: RentalRequest, done: (RentalOutcome) -> Unit) = done(RentalOutcome.NoCapacity)
+
+        override fun returnMachines(machines: List<MachineId>, done: (Boolean) -> Unit) {
+            returned.addAll(machines)
+            done(true)
+        }
+
+        override fun list(done: (List<ListedMachine>?) -> Unit) = done(
+            listOf(ListedMachine(host, ENDPOINT, TypeName("g8"), Zone("a"), false, MachineState.RUNNING, 60.0)),
+        )
+    }
+
+    private val peers = object : PeerPort {
+        override fun send(label: String, word: CancellationNotice) = Unit
+
+        override fun heartbeatChanged() = Unit
+    }
+
+    private inner class Listener : ReplicaListener by IgnoringListener {
+        override fun onJob(id: JobId, job: StoredJob, value: Map<String, Any?>) = cancellations.learned(id, job, value)
+    }
+
+    private val replica = Replica(ImmediateStatePort(store), clock, timing, Listener())
+    private val peerHealth = PeerHealth(settings.peers.size, clock, timing)
+    private val cancellations: Cancellations =
+        Cancellations(self, settings, clock, timing, replica, peerHealth, peers) { null }
+    private val enforcer = CancellationEnforcer(
+        self, settings, clock, timing, replica, cancellations, peerHealth, cloud, workers, RateBudget(10.0),
+    )
+
+    private fun attempt(job: JobId) = Attempt(TaskId(job, 0), 1)
+
+    private fun cancelled(job: JobId) {
+        val spec = JobSpecCodec.decode(JobSpecCodecTest.valid()).copy(id = job)
+        val record = JobRecord(
+            spec, 0, Phase.CANCELLED, BitSet(), 2, mapOf(0 to Placement(host, 1)), "w", cancelledMs = clock.now,
+        )
+        store.commit(Transaction(emptyList(), listOf(Change.Put(Keys.job(job.value), record.encode()))))
+    }
+
+    /** The jobs are cancelled one after the other, and [there] still run. */
+    private fun play(there: List<JobId>, forMs: Long = timing.cancelMs) {
+        running.addAll(there.map(::attempt))
+        cancelled(first)
+        pass(timing.quietMs)
+        cancelled(second)
+        pass(forMs)
+    }
+
+    private fun pass(ms: Long) {
+        val endMs = clock.now + ms
+        while (clock.now < endMs) {
+            replica.tick()
+            replica.catchUp {}
+            enforcer.tick()
+            clock.now += timing.tickMs
+        }
+    }
+
+    @Test
+    fun `that one job's attempts are gone isn't taken for the other's`() {
+        play(listOf(second), forMs = timing.cancelPatienceMs)
+        assertEquals(emptySet<Attempt>(), running)
+    }
+
+    @Test
+    fun `a machine that doesn't stop one of them is returned in time`() {
+        obeys = false
+        play(listOf(second))
+        assertEquals(listOf(host), returned.distinct())
+    }
+
+    @Test
+    fun `a machine on which none of them is left is kept`() {
+        play(emptyList())
+        assertTrue(returned.isEmpty(), "$returned")
+    }
+
+    private companion object {
+        const val ENDPOINT = "127.0.0.1:9000"
+    }
+}
