A machine is asked about all cancelled jobs at once, and its answer counts for those alone

Cause: CancellationEnforcer kept one "none of them is here" a machine, whichever job it had been asked about; the next question waited for the first job again.

Change: one question a machine about every due job's attempts, and the answer is kept with the attempts that it was about.

--- a/src/main/kotlin/oxbowlug/core/CancellationEnforcer.kt
+++ b/src/main/kotlin/oxbowlug/core/CancellationEnforcer.kt
@@ -30,9 +30,21 @@
     private class Watched {
         var isAsking = false
         var nextAt = 0L
+        private var clearOf: Set<Attempt> = emptySet()
+        private var clearAt = 0L
 
-        /** When it last said that none of the attempts is there. */
-        var clearAt: Long? = null
+        /** At [atMs] it said that none of [attempts] is there. */
+        fun saidClearOf(attempts: Set<Attempt>, atMs: Long) {
+            clearOf = attempts
+            clearAt = atMs
+        }
+
+        /**
+         * What it said of one job's attempts says nothing of another's: taken for that, cancelled tasks on a shared
+         * machine ran on, and the machine was kept.
+         */
+        fun isClearOf(attempts: Set<Attempt>, sinceMs: Long): Boolean =
+            clearAt > sinceMs && clearOf.containsAll(attempts)
     }
 
     private val watched = HashMap<MachineId, Watched>()
@@ -65,39 +77,46 @@
         }
         val now = clock.steadyMs()
         val rank = rank().coerceAtLeast(0)
-        val toReturn = LinkedHashSet<MachineId>()
-        for (pending in cancellations.open) {
-            if (pending.hasEnded) continue
-            val sinceMs = now - pending.confirmedAt
-            val fromMs = if (isInGoodHands(pending)) timing.enforceByReturnMs * 3 / 4 else timing.enforceAfterMs
-            if (sinceMs < fromMs + rank * timing.enforceStepMs) continue
-            for ((machine, attempts) in pending.attempts) {
-                if (machine in returned) continue
-                val watch = watched.getOrPut(machine, ::Watched)
-                look(machine, watch, attempts, now)
-                val clearAt = watch.clearAt
-                val isClear = clearAt != null && now - clearAt < timing.suspectMs
-                if (sinceMs > timing.enforceByReturnMs + rank * callMs && !isClear) toReturn.add(machine)
-            }
-        }
+        val due = cancellations.open.filter { !it.hasEnded && isDue(it, now, rank) }
+        for ((machine, attempts) in attemptsByMachine(due)) look(machine, attempts, now)
+        val toReturn = due.filter { now - it.confirmedAt > timing.enforceByReturnMs + rank * callMs }
+            .flatMapTo(LinkedHashSet()) { pending -> pending.attempts.filter { !isClear(it, now) }.keys }
         if (toReturn.isNotEmpty()) returnMachines(toReturn.take(CloudCodec.MAX_RETURNED), now)
     }
 
-    private fun look(machine: MachineId, watch: Watched, attempts: Set<Attempt>, now: Long) {
+    private fun isDue(pending: Cancellations.PendingCancellation, now: Long, rank: Int): Boolean {
+        val fromMs = if (isInGoodHands(pending)) timing.enforceByReturnMs * 3 / 4 else timing.enforceAfterMs
+        return now - pending.confirmedAt >= fromMs + rank * timing.enforceStepMs
+    }
+
+    /** All at once: asked about one job after the other, a machine that holds many would be asked about the first. */
+    private fun attemptsByMachine(due: List<Cancellations.PendingCancellation>): Map<MachineId, Set<Attempt>> {
+        val result = LinkedHashMap<MachineId, HashSet<Attempt>>()
+        for (pending in due) {
+            for ((machine, attempts) in pending.attempts) result.getOrPut(machine, ::HashSet).addAll(attempts)
+        }
+        return result
+    }
+
+    private fun isClear(placed: Map.Entry<MachineId, Set<Attempt>>, now: Long): Boolean =
+        placed.key in returned || watched[placed.key]?.isClearOf(placed.value, now - timing.suspectMs) ?: false
+
+    private fun look(machine: MachineId, attempts: Set<Attempt>, now: Long) {
+        if (machine in returned) return
+        val watch = watched.getOrPut(machine, ::Watched)
         if (watch.isAsking || now < watch.nextAt) return
         val endpoint = endpoints[machine] ?: return list(now)
         watch.isAsking = true
         workers.status(endpoint) { report ->
-            watch.nextAt = clock.steadyMs() + timing.quietMs
-            val left = report?.let { shown(it, attempts) }
-            when {
-                report == null || report.machine != machine || left == null -> watch.isAsking = false
-                left.isEmpty() -> {
-                    watch.isAsking = false
-                    watch.clearAt = clock.steadyMs()
-                }
-                else -> stop(endpoint, report, watch, left)
+            val answeredAt = clock.steadyMs()
+            watch.nextAt = answeredAt + timing.quietMs
+            if (report == null || report.machine != machine) {
+                watch.isAsking = false
+                return@status
             }
+            val left = shown(report, attempts)
+            watch.saidClearOf(attempts - left.toSet(), answeredAt)
+            if (left.isEmpty()) watch.isAsking = false else stop(endpoint, report, watch, attempts, left)
         }
     }
 
@@ -105,15 +124,21 @@
     private fun shown(report: WorkerReport, attempts: Set<Attempt>): List<Attempt> =
         report.tasks.filter { it.attempt in attempts && it.state != TaskState.EXITED }.map { it.attempt }
 
-    private fun stop(endpoint: Address, report: WorkerReport, watch: Watched, left: List<Attempt>) {
+    private fun stop(
+        endpoint: Address,
+        report: WorkerReport,
+        watch: Watched,
+        attempts: Set<Attempt>,
+        left: List<Attempt>,
+    ) {
         log.info("stopping {} on {}, since nobody else does", left, report.machine)
         // With the token that it knows already, so that nobody's authority is touched.
         val commands = left.map { WorkerCommand.Stop(it, 0.0) }
         workers.command(endpoint, report.token, report.session, commands) { outcome ->
             watch.isAsking = false
             watch.nextAt = clock.steadyMs()
-            if (outcome is DirectOutcome.Answered && shown(outcome.report, left.toSet()).isEmpty()) {
-                watch.clearAt = clock.steadyMs()
+            if (outcome is DirectOutcome.Answered && shown(outcome.report, attempts).isEmpty()) {
+                watch.saidClearOf(attempts, clock.steadyMs())
                 watch.nextAt = clock.steadyMs() + timing.quietMs
             }
         }
--- a/src/test/kotlin/oxbowlug/core/CancellationEnforcerTest.kt
+++ b/src/test/kotlin/oxbowlug/core/CancellationEnforcerTest.kt
@@ -136,6 +136,12 @@
         }
     }
 
+    @Test
+    fun `each cancelled job's attempts on a shared machine are stopped`() {
+        play(listOf(first, second), forMs = timing.cancelPatienceMs)
+        assertEquals(emptySet<Attempt>(), running)
+    }
+
     @Test
     fun `that one job's attempts are gone isn't taken for the other's`() {
         play(listOf(second), forMs = timing.cancelPatienceMs)
