--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -256,11 +256,14 @@
                 val delayMs = if (atOnce) world.between(1, 5) else world.between(2_000, 12_000)
                 return world.after(delayMs) { if (!store.down) store.commit(written) }
             }
-            if (world.chance(weather.refusedWrites)) return settle(world.between(1, 10), CommitOutcome.Refused, done)
-            if (stateUp() && !cut && world.chance(weather.slowAnswers)) return commitAnsweredLate(written, done)
+            if (happens(weather.refusedWrites)) return settle(world.between(1, 10), CommitOutcome.Refused, done)
+            if (stateUp() && !cut && happens(weather.slowAnswers)) return commitAnsweredLate(written, done)
             call(::stateUp, CommitOutcome.Refused, CommitOutcome.Unanswered, done) { store.commit(written) }
         }
 
+        /** Draws no number for a trouble that the day doesn't have, so that other days stay what they were. */
+        private fun happens(share: Double): Boolean = share > 0.0 && world.chance(share)
+
         private fun commitAnsweredLate(transaction: Transaction, done: (CommitOutcome) -> Unit) =
             world.after(world.between(1, 5)) {
                 val outcome = if (store.down) CommitOutcome.Refused else store.commit(transaction)
