A record is joined of its head and the parts of that head, or not at all

Cause: a whole re-read takes pages of different moments.

Change: StoredParts keeps each part's revision. Head and changed parts are written in one transaction, so a part later than its head belongs to another head: the record counts as not readable until the change that explains it is replayed, and is logged with key and revisions. A job accepted during the read, known from elsewhere, no longer leaves the copy for a moment.

--- a/src/main/kotlin/oxbowlug/core/Replica.kt
+++ b/src/main/kotlin/oxbowlug/core/Replica.kt
@@ -36,7 +36,7 @@
     private val isLeading: () -> Boolean = { true },
 ) {
     private val jobs = Object2ObjectOpenHashMap<String, StoredJob>()
-    private val parts = HashMap<String, HashMap<Int, Map<String, Any?>>>()
+    private val parts = StoredParts()
     private val dependents = Dependents()
     private val members = HashSet<String>()
 
@@ -225,7 +225,8 @@
         synced = true
         members.clear()
         val present = entries.mapTo(HashSet(entries.size * 2)) { it.key }
-        jobs.keys.retainAll { Keys.job(it) in present }
+        // One that was accepted after its page was read is known from elsewhere, and a change brings it soon.
+        jobs.entries.removeIf { (id, job) -> Keys.job(id) !in present && job.version <= from }
         parts.clear()
         val events = entries.map { Event(it.key, it.value, it.version) }
         val (partEvents, others) = events.partition { it.key.startsWith(Keys.PARTS) }
@@ -257,7 +258,7 @@
                 }
                 event.key == Keys.FORMAT -> applyMarker(event)
                 event.key.startsWith(Keys.JOBS) -> applyJob(event)
-                event.key.startsWith(Keys.PARTS) -> applyPart(event)
+                event.key.startsWith(Keys.PARTS) -> parts.apply(event)
                 event.key.startsWith(Keys.FORMATS) -> event.value?.let {
                     formats[event.key.substring(Keys.FORMATS.length)] = DataFormat.decode(it)
                 }
@@ -297,25 +298,10 @@
         listener.onWritableFormat(next)
     }
 
-    private fun applyPart(event: Event) {
-        val name = event.key.substring(Keys.PARTS.length)
-        val slash = name.lastIndexOf('/')
-        val index = name.substring(slash + 1).toIntOrNull()
-        if (slash <= 0 || index == null) throw InvalidField("part", "has no number")
-        val id = name.substring(0, slash)
-        val value = event.value
-        if (value != null) {
-            parts.getOrPut(id, ::HashMap)[index] = value
-        } else {
-            parts[id]?.remove(index)
-            if (parts[id]?.isEmpty() == true) parts.remove(id)
-        }
-    }
-
     private fun applyJob(event: Event) {
         val head = event.value ?: return
-        val id = event.key.substring(Keys.JOBS.length)
-        takeRecord(JobId(id), event.version) { RecordLayout.merge(head) { index -> parts[id]?.get(index) } }
+        val id = JobId(event.key.substring(Keys.JOBS.length))
+        takeRecord(id, event.version) { parts.whole(id, head, event.version) }
     }
 
     private fun takeRecord(id: JobId, version: Long, whole: () -> Map<String, Any?>) {
@@ -328,8 +314,9 @@
             listener.onJob(id, stored, value)
             followDependencies(id, stored)
         } catch (e: InvalidField) {
-            // It must not look like a job that isn't there, nor like one that is done.
-            log.error("the record of {} at revision {} can't be read: {}", id, version, e.message)
+            // It must not look like a job that isn't there, nor like one that is done. Where it is only torn, the
+            // change that explains it comes with the replay.
+            log.warn("the record of {} at revision {} can't be read: {}", id, version, e.message)
             if (present?.phase?.isFinal != true) jobs[id.value] = StoredJob.unreadable(version)
         }
     }
