--- a/src/test/kotlin/oxbowlug/sim/AtSizeTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/AtSizeTest.kt
@@ -8,7 +8,7 @@
 
 /** What a large deployment brings, made small: answers that take long, refused writes, a short history of changes. */
 class AtSizeTest {
-    class Case(val name: String, val play: Simulation.() -> Unit) {
+    class Case(val name: String, val keptChanges: Int = 10_000, val play: Simulation.() -> Unit) {
         override fun toString() = name
     }
 
@@ -25,7 +25,7 @@
     }
 
     private fun play(case: Case, seed: Long) {
-        val day = Simulation(seed, shape = Shape(nodes = 5, machinesUp = 8, nextLimits = NEXT))
+        val day = Simulation(seed, shape = shapeOf(case))
         day.users(everyMs = 2_500, untilMs = 90_000)
         day.pipelines(everyMs = 5_000, untilMs = 90_000)
         case.play(day)
@@ -35,6 +35,9 @@
         assertEquals(emptyList<String>(), day.rules.unfinished(), "$case, seed $seed: not served")
     }
 
+    private fun shapeOf(case: Case) =
+        Shape(nodes = 5, machinesUp = 8, nextLimits = NEXT, keptChanges = case.keptChanges)
+
     companion object {
         private const val SLOW_ANSWERS = "answers are slow and writes are refused"
         private val SLOW_ANSWER_SEEDS = 4L..6L
@@ -67,6 +70,25 @@
             },
         )
 
+        private fun Simulation.running(): List<String> =
+            cloud.workers.flatMap { it.onMachine() }.map { it.attempt.task.job.value }.distinct()
+
+        private fun Simulation.cancelRunning(atMs: Long, count: Int) =
+            at(atMs) { running().shuffled(world.random).take(count).forEach(::cancel) }
+
+        private fun Simulation.hangs(atMs: Long, forMs: Long) =
+            at(atMs) { randomWorker()?.let { it.hungUntil = world.nowMs + forMs } }
+
+        /** One controller after the other, or the leader, is refused for long enough that changes are forgotten. */
+        private fun Simulation.refusals(fromMs: Long, leaders: Boolean) {
+            for ((turn, ms) in (fromMs..90_000L step 12_000).withIndex()) {
+                at(ms) {
+                    val node = if (leaders) leader else nodes[turn % nodes.size]
+                    spell(0, 6_000, { node.withoutState = true }, { node.withoutState = false })
+                }
+            }
+        }
+
         @JvmStatic
         fun cases(): List<Case> = listOf(
             Case(SLOW_ANSWERS) { slowState() },
@@ -79,11 +101,31 @@
                 cancelsAtEnd = 0.1
                 for (ms in 25_000L..90_000L step 9_000) leaderEnds(ms)
                 for (ms in 22_000L..90_000L step 3_000) {
-                    at(ms) { randomWorker()?.let { it.hungUntil = world.nowMs + world.between(2_000, 20_000) } }
-                    at(ms + 500) {
-                        cloud.workers.flatMap { it.onMachine() }.map { it.attempt.task.job.value }.distinct().take(1)
-                            .forEach(::cancel)
-                    }
+                    hangs(ms, world.between(2_000, 20_000))
+                    cancelRunning(ms + 500, count = 1)
+                }
+            },
+            Case("changes are forgotten, and controllers read everything again", keptChanges = 10) {
+                weather.slowPages = 20L..200L
+                refusals(18_000, leaders = false)
+                for (ms in 30_000L..80_000L step 16_000) leaderEnds(ms)
+                for (ms in 22_000L..90_000L step 5_000) cancelRunning(ms, count = 1)
+            },
+            Case("the leader reads everything again, again and again, while answers are slow", keptChanges = 10) {
+                slowState()
+                weather.slowPages = 50L..400L
+                closeLooks = 0.1
+                refusals(20_000, leaders = true)
+                for (ms in 22_000L..90_000L step 5_000) cancelRunning(ms, count = 1)
+            },
+            Case("the leader reads everything again, ends, and an outage begins as many jobs are cancelled", 10) {
+                weather.slowPages = 20L..200L
+                refusals(20_000, leaders = true)
+                for (ms in listOf(30_000L, 62_000L)) {
+                    repeat(3) { hangs(ms - 100, forMs = 25_000) }
+                    cancelRunning(ms, count = 8)
+                    leaderEnds(ms + 400)
+                    spell(ms + 500, 22_000, { store.down = true }, { store.down = false })
                 }
             },
         ).filter(Seeds::takes)
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -42,6 +42,9 @@
     /** Share of the answered transactions whose answer takes 50 ms to 1.5 s, while the watch brings the change at once. */
     var slowAnswers = 0.0
 
+    /** How long each page of a read takes, beside its way; null: no longer. */
+    var slowPages: LongRange? = null
+
     /** Share of transactions that the state service refuses for their rate. */
     var refusedWrites = 0.0
 
@@ -270,7 +273,12 @@
                 settle(world.between(50, 1_500), outcome, done)
             }
 
-        override fun readPage(prefix: String, after: String?, done: (ReadPage?) -> Unit) =
+        override fun readPage(prefix: String, after: String?, done: (ReadPage?) -> Unit) {
+            val slow = weather.slowPages ?: return readNow(prefix, after, done)
+            world.after(world.between(slow)) { readNow(prefix, after, done) }
+        }
+
+        private fun readNow(prefix: String, after: String?, done: (ReadPage?) -> Unit) =
             call<ReadPage?>(::stateUp, null, null, done) {
                 store.read(prefix, after, 7).let { if (runsOld) OldVersion.reads(it) else it }
             }
--- a/src/test/kotlin/oxbowlug/sim/Simulation.kt
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -60,6 +60,8 @@
     val zones: List<String> = listOf("a", "b"),
     /** From then on all troubles are over. */
     val calmFromMs: Long = 125_000,
+    /** So many changes the state service keeps; who asks for older ones has to read everything again. */
+    val keptChanges: Int = 10_000,
 )
 
 /** Controllers, a cloud, workers, a state service and users, on virtual time with one seed. */
@@ -76,7 +78,7 @@
         MachineType(TypeName("g8"), 64.0, 8.0, 256.0, 200.0, 2.0, 20.0, 8.0, 8.0, zones),
         MachineType(TypeName("c32"), 32.0, 0.0, 128.0, 35.0, 0.5, 1.2, 0.5, 5.0, zones),
     )
-    val store = SimStore(world)
+    val store = SimStore(world, shape.keptChanges)
     val cloud = SimCloud(world, types, shape.capacity, LIST_LAG_MS, ::makeWorker)
 
     /** Machines are up after this long instead of their types' time. */
