What was missing in the log: the basis of each decision, whole reads, roles

Need: without logs of the incident nobody could say what a controller knew when it acted. One line a decision that matters, none a report: each change of role, each stored transaction (jobs, placements, predecessors' revisions), each plan that starts or stops something, each cancellation told or taken up, each call for returns, each whole read (entries, revision, time, reason) and each page that gave one up. Beside each: role, token, how long the lease is believed, revision and age of the copy. Metrics: token, lease.left.ms, copy.age.ms, copy.whole.reads.

--- a/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
+++ b/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
@@ -57,6 +57,10 @@
         gauges["rate.cloud.left"] = { core.cloudCallsLeft }
         gauges["epoch"] = { core.epoch }
         gauges["leading"] = { if (core.isLeading) 1 else 0 }
+        gauges["token"] = { core.token }
+        gauges["lease.left.ms"] = { core.leaseLeftMs }
+        gauges["copy.age.ms"] = { core.copyAgeMs }
+        gauges["copy.whole.reads"] = { core.wholeReads }
     }
 
     /** Every meter's present values, a line each. */
--- a/src/main/kotlin/oxbowlug/core/Authority.kt
+++ b/src/main/kotlin/oxbowlug/core/Authority.kt
@@ -58,6 +58,9 @@
         return if (leaseBelieved()) Role.Leader(view) else Role.RenewingOnly(view)
     }
 
+    /** For how long this controller may still believe in its lease; 0: it may not. */
+    fun leaseLeftMs(): Long = if (registered) (believedUntil - clock.steadyMs()).coerceAtLeast(0) else 0
+
     private fun leaseBelieved(): Boolean = registered && clock.steadyMs() < believedUntil
 
     /** A peer or a worker's token shows that [epoch] was reached; [leader] may be unknown. */
--- a/src/main/kotlin/oxbowlug/core/Commits.kt
+++ b/src/main/kotlin/oxbowlug/core/Commits.kt
@@ -22,6 +22,7 @@
     private val budget: RateBudget,
     private val replica: Replica,
     private val fleet: Fleet,
+    private val basis: DecisionBasis,
 ) {
     private var inFlight = 0
     private var notBefore = 0L
@@ -147,10 +148,13 @@
     private fun take(outcome: CommitOutcome, group: List<Prepared>) {
         val now = clock.steadyMs()
         when (outcome) {
-            is CommitOutcome.Applied -> for (prepared in group) {
-                // The watch may have brought the write before its answer did.
-                prepared.job.written(prepared.record, outcome.revision)
-                pokeAfterWrite(prepared.job)
+            is CommitOutcome.Applied -> {
+                log.info("stored at {}: {}; {}", outcome.revision, summary(group), basis.describe())
+                for (prepared in group) {
+                    // The watch may have brought the write before its answer did.
+                    prepared.job.written(prepared.record, outcome.revision)
+                    pokeAfterWrite(prepared.job)
+                }
             }
             is CommitOutcome.Conflict -> {
                 if (Keys.VIEW in outcome.failed) {
@@ -171,6 +175,14 @@
         }
     }
 
+    /** What the records allow from now on: starts of what is placed, and why its jobs were ready. */
+    private fun summary(group: List<Prepared>): String = group.joinToString { prepared ->
+        val record = prepared.record
+        val needs = prepared.job.spec.waitsOn.joinToString { "$it@${replica.job(it)?.version}" }
+        val after = if (needs.isEmpty()) "" else " after $needs"
+        "${prepared.job.id} ${record.phase.wire}, ${record.placements.size} placed$after"
+    }
+
     private fun pokeAfterWrite(job: Job) {
         for (placed in job.live.values) {
             if (placed.seen == null || job.phase == Phase.CANCELLED) fleet.pokes.add(placed.machine)
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -32,6 +32,7 @@
     private val queue = ManyToOneConcurrentArrayQueue<Command>(capacity(settings))
     private val replica = Replica(state, clock, timing, Listener()) { isOurView() }
     private val authority = Authority(self, state, clock, timing, replica, settings.state.lowest.txnOps)
+    private val basis = PresentBasis(clock, authority, replica)
     private val formatUpgrade = FormatUpgrade(settings, state, clock, timing, replica)
 
     // Half of the write rate is for accepting and cancelling. A controller may use all of that half, since users are
@@ -51,12 +52,13 @@
     private val freshness = CancellationFreshness(self, settings, clock, timing, replica)
     private val jobRequests = JobRequests(
         names, settings, state, clock, timing, replica, ownWrites, meters, cancellations::confirmed,
-        cancellations::told,
+        cancellations::told, basis,
     )
     private var types: Map<TypeName, MachineType> = emptyMap()
     private var fetchingTypes = false
     private var nextTypesAt = 0L
     private var leader: Leader? = null
+    private var notedRole: Role = Role.Unknown
     private var viewIsNew = false
     private val waitingReports = ArrayDeque<WaitingReport>()
     private var rememberedImages: Map<MachineId, List<ImageName>> = emptyMap()
@@ -72,6 +74,10 @@
     val openCancellations: Int get() = cancellations.open.count { !it.hasEnded }
     val epoch: Long get() = replica.view?.epoch ?: 0
     val isLeading: Boolean get() = authority.role() is Role.Leader
+    val leaseLeftMs: Long get() = authority.leaseLeftMs()
+    val copyAgeMs: Long get() = replica.copyAgeMs(clock.steadyMs())
+    val wholeReads: Long get() = replica.wholeReads
+    val token: Long get() = replica.view?.token?.value ?: 0
 
     /** False when the queue is full: the caller answers "unavailable" itself. */
     fun offer(command: Command): Boolean {
@@ -229,6 +235,7 @@
         authority.tick()
         val now = clock.steadyMs()
         load.ticked(now)
+        noteRole()
         answerWaiting()
         if (!fetchingTypes && now >= nextTypesAt) fetchTypes()
         cancellations.tick()
@@ -245,6 +252,14 @@
         }
     }
 
+    /** A line whenever what this controller may do is another than at the last tick. */
+    private fun noteRole() {
+        val role = authority.role()
+        if (role == notedRole) return
+        notedRole = role
+        log.info("now {}", basis.describe())
+    }
+
     /** The leader's model under the present view; made once the copy holds all that was committed before it. */
     private fun leading(): Leader? {
         val view = replica.view
@@ -258,8 +273,8 @@
         if (!replica.synced || replica.revision < view.version) return null
         log.info("leading at epoch {}", view.epoch)
         val next = Leader(
-            view, names, settings, state, cloud, workers, clock, timing, replica, leaderWrites, cloudBudget, load,
-            rememberedImages, ::mayFormerLeaderAnswer,
+            view, names, settings, state, cloud, workers, clock, timing, replica, basis, leaderWrites, cloudBudget,
+            load, rememberedImages, ::mayFormerLeaderAnswer,
         )
         leader = next
         return next
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/DecisionBasis.kt
@@ -0,0 +1,27 @@
+package oxbowlug.core
+
+/**
+ * What a decision was taken from, for the log: in force, and for how long, and how old the copy of the state service
+ * is. A line of it stands beside each decision that matters, so that a broken rule can be reconstructed.
+ */
+fun interface DecisionBasis {
+    fun describe(): String
+}
+
+/** The basis of whoever decides here now. */
+class PresentBasis(
+    private val clock: Clock,
+    private val authority: Authority,
+    private val replica: Replica,
+) : DecisionBasis {
+    override fun describe(): String {
+        val role = when (val role = authority.role()) {
+            is Role.Leader -> "leader of epoch ${role.view.epoch} under token ${role.view.token.value}"
+            is Role.RenewingOnly -> "renewing only, epoch ${role.view.epoch} under token ${role.view.token.value}"
+            is Role.Follower -> "follower of ${role.leader.label}"
+            Role.Unknown -> "of no known role"
+        }
+        return "$role, lease believed for ${authority.leaseLeftMs()} ms, " +
+            "copy of revision ${replica.revision}, ${replica.copyAgeMs(clock.steadyMs())} ms old"
+    }
+}
--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -87,7 +87,10 @@
         if (present.phase == Phase.CANCELLED) {
             if (wasActive) {
                 if (present.spec.waitsOn.isEmpty()) arrivals.leave(present.spec, clock.wallMs())
-                present.cancelledAt = cancelledAt(record, now)
+                val since = cancelledAt(record, now)
+                present.cancelledAt = since
+                val left = present.live.size
+                log.info("{} is cancelled at {}, {} ms ago, {} attempts left", id, stored.version, now - since, left)
             }
             stopCancelled(present)
         }
--- a/src/main/kotlin/oxbowlug/core/JobRequests.kt
+++ b/src/main/kotlin/oxbowlug/core/JobRequests.kt
@@ -50,6 +50,7 @@
     private val onCancelled: (JobId, Long, Map<String, Any?>) -> Unit,
     /** A user is about to be told that it is cancelled, by whoever it was. */
     private val onAnsweredCancelled: (JobId) -> Unit,
+    private val basis: DecisionBasis,
 ) {
     private val admission = AdmissionLimit()
     private val layout = RecordLayout(settings.state.lowest)
@@ -250,6 +251,7 @@
                     // The changes are known by their own revision, and so is the number of parts.
                     val parts = changes.size - 1
                     if (parts > 0) cancelled[RecordLayout.PARTS] = parts.toLong()
+                    log.info("{} is cancelled at {}: {}", id, outcome.revision, basis.describe())
                     onCancelled(id, outcome.revision, cancelled)
                     answer(UserAnswer.Known(JobView(id, ShownState.CANCELLED, stored.done, 0)))
                 }
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -27,6 +27,7 @@
     private val clock: Clock,
     private val timing: Timing,
     private val replica: Replica,
+    private val basis: DecisionBasis,
     writeBudget: RateBudget,
     cloudBudget: RateBudget,
     private val load: Load,
@@ -39,8 +40,8 @@
         replica::dependencyState,
     )
     val delegates = RenewalDelegates(view, settings, state, clock, timing, replica)
-    private val commits = Commits(view, names, settings, state, clock, timing, writeBudget, replica, fleet)
-    private val rentals = Rentals(names, settings, cloud, clock, timing, cloudBudget, fleet)
+    private val commits = Commits(view, names, settings, state, clock, timing, writeBudget, replica, fleet, basis)
+    private val rentals = Rentals(names, settings, cloud, clock, timing, cloudBudget, fleet, basis)
     private val planning = Planning(settings, clock, timing, fleet, rentals, startedAt) { replica.writableFormat }
     private val tokenPropagation =
         TokenPropagation(fleet, workers, timing, startedAt, settings.limits.maxSockets / SPREAD_SHARE, mayBeAnswered)
@@ -159,11 +160,15 @@
         planning.apply(plan)
         val tookNs = System.nanoTime() - began
         load.planned(tookNs, plan.priced)
+        if (plan.starts.isNotEmpty() || plan.stops.isNotEmpty()) {
+            val count = "${plan.starts.size} starts, ${plan.stops.size} stops"
+            log.info("planned {} in {} ms: {}", count, tookNs / NS_PER_MS, basis.describe())
+        }
         if (mayMove) nextMoveAt = now + timing.movePauseMs(plan.move?.jobs ?: 0)
         reserved = plan.reserved
         unplaced = plan.unplaced
         // On a large fleet plans take long: they may take a part of the time only, or nobody else is answered.
-        nextPlanAt = now + maxOf(timing.planGapMs, tookNs / 1_000_000 * PLAN_RESTS)
+        nextPlanAt = now + maxOf(timing.planGapMs, tookNs / NS_PER_MS * PLAN_RESTS)
         val soon = plan.unplaced > 0 || plan.reserved.isNotEmpty() || fleet.jobs.values.any { now < it.holdUntil }
         nextRoundAt = now + if (soon) timing.replanSoonMs else (settings.policy.replanS * 1000).toLong()
     }
@@ -279,6 +284,7 @@
         /** A plan is followed by a pause of this many times its length less one. */
         const val PLAN_RESTS = 5
         const val BYTES_PER_KB = 1024
+        const val NS_PER_MS = 1_000_000
         const val SCARCE_PATIENCE = 3
 
         /** Machines that can't be reached hold a socket each until the call is given up. */
--- a/src/main/kotlin/oxbowlug/core/Rentals.kt
+++ b/src/main/kotlin/oxbowlug/core/Rentals.kt
@@ -26,6 +26,7 @@
     private val timing: Timing,
     private val budget: RateBudget,
     private val fleet: Fleet,
+    private val basis: DecisionBasis,
 ) {
     val ordered = ArrayList<Ordered>()
     private val refusals = HashMap<Kind, RefusalState>()
@@ -130,6 +131,7 @@
 
     private fun returnMachines() {
         val batch = toReturn.take(CloudCodec.MAX_RETURNED)
+        log.info("asking for the return of {}: {}", batch, basis.describe())
         returning = true
         cloud.returnMachines(batch) { ok ->
             returning = false
--- a/src/main/kotlin/oxbowlug/core/Replica.kt
+++ b/src/main/kotlin/oxbowlug/core/Replica.kt
@@ -49,6 +49,8 @@
     private var nextWatchAt = 0L
     private var nextCatchUpAt = 0L
     private var nextReadAt = 0L
+    private var firstReadMs = clock.steadyMs()
+    private var readBecause = "this life began"
 
     /** All changes up to this revision are in the copy. */
     var revision = 0L
@@ -85,6 +87,13 @@
     var readUpToMs = Long.MIN_VALUE / 2
         private set
 
+    /** How often everything was read, the first time included. */
+    var wholeReads = 0L
+        private set
+
+    /** The newest reading of all changes was sent so long ago. */
+    fun copyAgeMs(now: Long): Long = now - readUpToMs.coerceAtLeast(firstReadMs)
+
     /** A whole record that a controller has seen in the state service; an older one changes nothing. */
     fun hear(id: JobId, version: Long, value: Map<String, Any?>) = takeRecord(id, version) { value }
 
@@ -168,7 +177,8 @@
             true
         }
         ChangesOutcome.TooOld -> {
-            log.info("changes since revision {} are gone, reading everything again", revision)
+            readBecause = "changes since revision $revision are gone"
+            log.info("reading everything again: {}", readBecause)
             synced = false
             false
         }
@@ -181,6 +191,8 @@
      */
     private fun readAll() {
         reading = true
+        wholeReads++
+        val beganAt = clock.steadyMs()
         readPage(Keys.ROSTER, null, ArrayList(), -1L) { entries, from ->
             for (entry in entries) if (entry.key == Keys.VIEW) applyView(Event(entry.key, entry.value, entry.version))
             members.clear()
@@ -190,6 +202,8 @@
             readPage(Keys.ROOT, null, ArrayList(), from) { all, first ->
                 reading = false
                 reset(all, first)
+                val tookMs = clock.steadyMs() - beganAt
+                log.info("read {} entries from revision {} on in {} ms, since {}", all.size, first, tookMs, readBecause)
             }
         }
     }
@@ -206,6 +220,8 @@
             if (page == null) {
                 reading = false
                 nextReadAt = clock.steadyMs() + timing.retryMs()
+                // Read by read, the entries so far are given up: with many pages this may go on for long.
+                log.info("the page of {} after {} failed, {} entries given up", prefix, after ?: "none", entries.size)
             } else {
                 contacted(sentAt)
                 // Pages are of different moments: changes since the first one are replayed over them.
@@ -232,7 +248,6 @@
         val (partEvents, others) = events.partition { it.key.startsWith(Keys.PARTS) }
         partEvents.forEach(::apply)
         others.forEach(::apply)
-        log.info("copied {} entries at revision {}", entries.size, from)
     }
 
     /** A head is read with its parts, which its transaction may have written too: so these come first. */
--- a/src/test/kotlin/oxbowlug/core/CommitsTest.kt
+++ b/src/test/kotlin/oxbowlug/core/CommitsTest.kt
@@ -60,7 +60,7 @@
         replica.forEachActive { id, stored -> stored.value?.let { fleet.takeJob(id, stored, it) } }
         commits = Commits(
             view.copy(version = version), Names(view.leader), settings, Port(), clock, timing, RateBudget(rate),
-            replica, fleet,
+            replica, fleet, noBasis,
         )
     }
 
--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -279,7 +279,8 @@
     fun `a silent machine that can't be had again is given up only where there is room`() {
         val type = MachineType(TypeName("g8"), 64.0, spec.gpus, 256.0, 200.0, 2.0, 20.0, 8.0, 30.0, listOf(Zone("a")))
         val types = mapOf(type.name to type)
-        val rentals = Rentals(Names(Member("n0", "x")), settings, NoCloud, clock, timing, RateBudget(1.0), fleet)
+        val names = Names(Member("n0", "x"))
+        val rentals = Rentals(names, settings, NoCloud, clock, timing, RateBudget(1.0), fleet, noBasis)
         val planning = Planning(settings, clock, timing, fleet, rentals, clock.now) { WritableFormat.SINGLE_VALUE }
         take(record(), 1)
         fleet.hear(report(1, tasks = listOf(ReportedTask(attempt, TaskState.RUNNING, null, false))), hello = true)
--- a/src/test/kotlin/oxbowlug/core/JobRequestsTest.kt
+++ b/src/test/kotlin/oxbowlug/core/JobRequestsTest.kt
@@ -71,6 +71,7 @@
         Names(Member("n0", "x")), settings, Port(), clock, timing, copy, RateBudget(10.0), NoMeters,
         onCancelled = { id, _, value -> told.add("confirmed $id of ${machines(value)} machines") },
         onAnsweredCancelled = { told.add("told $it") },
+        basis = noBasis,
     )
 
     private fun machines(value: Map<String, Any?>): Int = (value["run"] as? Map<*, *>)?.size ?: 0
@@ -213,7 +214,7 @@
         val copy = Replica(Port(), clock, timing, IgnoringListener).apply { tick() }
         val jobRequests = JobRequests(
             Names(Member("n0", "x")), settings.copy(state = small), Port(), clock, timing, copy, RateBudget(10.0),
-            NoMeters, { _, _, _ -> }, {},
+            NoMeters, { _, _, _ -> }, {}, noBasis,
         )
         val before = store.revision
         val answers = ArrayList<UserAnswer>()
@@ -241,7 +242,7 @@
             val jobRequests = JobRequests(
                 Names(Member("n0", "x")), settings.copy(state = settings.state.copy(next = limits)), Port(), clock,
                 timing, copy, RateBudget(10.0), NoMeters,
-                { id, _, value -> told.add("confirmed $id of ${machines(value)} machines") }, {},
+                { id, _, value -> told.add("confirmed $id of ${machines(value)} machines") }, {}, noBasis,
             )
             val answers = ArrayList<UserAnswer>()
             jobRequests.cancel(spec.id) { answers.add(it) }
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/core/PresentBasisTest.kt
@@ -0,0 +1,66 @@
+package oxbowlug.core
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import oxbowlug.config.SettingsFile
+import oxbowlug.standin.SimStore
+import oxbowlug.standin.World
+import oxbowlug.wire.Change
+import oxbowlug.wire.Token
+import oxbowlug.wire.Transaction
+import kotlin.random.Random
+
+/** What the log says beside a decision. */
+class PresentBasisTest {
+    private val clock = object : Clock {
+        var now = 100_000L
+
+        override fun steadyMs() = now
+
+        override fun wallMs() = now
+    }
+    private val self = Member("n0", "x")
+    private val store = SimStore(World(1), historyLimit = 2)
+    private val timing = Timing(SettingsFile.parse(SettingsTexts.valid), Random(1))
+
+    private inner class Port : ImmediateStatePort(store) {
+        override fun grant(lifeMs: Long, done: (Long?) -> Unit) = done(store.grant(lifeMs))
+    }
+
+    private val replica = Replica(Port(), clock, timing, IgnoringListener)
+    private val authority = Authority(self, Port(), clock, timing, replica, changesPerTransaction = 1)
+    private val basis = PresentBasis(clock, authority, replica)
+
+    private fun put(key: String) = store.commit(Transaction(emptyList(), listOf(Change.Put(key, mapOf("x" to 1L)))))
+
+    @Test
+    fun `it names the role, the token, the lease's rest and the age of the copy`() {
+        assertEquals("of no known role, lease believed for 0 ms, copy of revision 0, 0 ms old", basis.describe())
+        store.commit(Transaction(emptyList(), listOf(Change.Put(Keys.VIEW, View(7, Token(5), self, 0).encode()))))
+        replica.tick()
+        authority.tick()
+        replica.catchUp {}
+        clock.now += 250
+        val leftMs = timing.leaseBeliefMs - 250
+        val copy = "copy of revision ${replica.revision}, 250 ms old"
+        assertEquals("leader of epoch 7 under token 5, lease believed for $leftMs ms, $copy", basis.describe())
+        clock.now += timing.leaseLifeMs
+        assertTrue(basis.describe().startsWith("renewing only, epoch 7 under token 5, lease believed for 0 ms"))
+    }
+
+    @Test
+    fun `a whole read is counted, and the copy stays as old as it was until changes are read`() {
+        replica.tick()
+        repeat(3) { put("ox/x$it") }
+        clock.now += 1_000
+        replica.catchUp {}
+        assertEquals(1, replica.wholeReads)
+        replica.tick()
+        assertEquals(2, replica.wholeReads)
+        assertEquals(1_000, replica.copyAgeMs(clock.now))
+        clock.now += 1_000
+        replica.catchUp {}
+        assertEquals(0, replica.copyAgeMs(clock.now))
+    }
+}
--- a/src/test/kotlin/oxbowlug/core/TestDoubles.kt
+++ b/src/test/kotlin/oxbowlug/core/TestDoubles.kt
@@ -18,6 +18,9 @@
     override fun onWritableFormat(format: WritableFormat) = Unit
 }
 
+/** For tests of decisions, not of what is logged beside them. */
+val noBasis = DecisionBasis { "" }
+
 /** Answers at once from the store; watches stay open, and there are no leases. */
 open class ImmediateStatePort(private val store: SimStore) : StatePort {
     override fun commit(transaction: Transaction, done: (CommitOutcome) -> Unit) = done(store.commit(transaction))
