--- a/src/main/kotlin/oxbowlug/core/Authority.kt
+++ b/src/main/kotlin/oxbowlug/core/Authority.kt
@@ -118,6 +118,8 @@
         }
         state.touch(held) { outcome ->
             renewing = false
+            // Given back meanwhile: the answer is of a lease that isn't held any more.
+            if (lease != held) return@touch
             when (outcome) {
                 TouchOutcome.RENEWED -> {
                     // Counted from when the renewal was sent: the service may have done it at once.
--- a/src/main/kotlin/oxbowlug/core/Replica.kt
+++ b/src/main/kotlin/oxbowlug/core/Replica.kt
@@ -145,9 +145,10 @@
         catchingUp = true
         val sentAt = clock.steadyMs()
         nextCatchUpAt = sentAt + timing.catchUpGapMs
-        state.changes(Keys.ROOT, revision, 0) { outcome ->
+        val from = revision
+        state.changes(Keys.ROOT, from, 0) { outcome ->
             catchingUp = false
-            val ok = take(outcome, sentAt)
+            val ok = take(outcome, from, sentAt)
             for (waiter in group) waiter(ok)
         }
     }
@@ -155,16 +156,17 @@
     private fun watch() {
         watching = true
         val sentAt = clock.steadyMs()
-        state.changes(Keys.ROOT, revision, timing.watchMs) { outcome ->
+        val from = revision
+        state.changes(Keys.ROOT, from, timing.watchMs) { outcome ->
             watching = false
-            val ok = take(outcome, sentAt)
+            val ok = take(outcome, from, sentAt)
             nextWatchAt = clock.steadyMs() + if (ok) watchGapMs() else timing.retryMs()
         }
     }
 
     private fun watchGapMs(): Long = if (isLeading()) timing.watchGapMs else timing.followGapMs
 
-    private fun take(outcome: ChangesOutcome, sentAt: Long): Boolean = when (outcome) {
+    private fun take(outcome: ChangesOutcome, from: Long, sentAt: Long): Boolean = when (outcome) {
         is ChangesOutcome.Read -> {
             contacted(sentAt)
             readUpToMs = maxOf(readUpToMs, sentAt)
@@ -177,9 +179,13 @@
             true
         }
         ChangesOutcome.TooOld -> {
-            readBecause = "changes since revision $revision are gone"
-            log.info("reading everything again: {}", readBecause)
-            synced = false
+            // Asked before everything was read anew, it says nothing of the present copy: taken for that, all would be
+            // read once more, and nobody answered meanwhile.
+            if (revision == from && synced) {
+                readBecause = "changes since revision $from are gone"
+                log.info("reading everything again: {}", readBecause)
+                synced = false
+            }
             false
         }
         ChangesOutcome.Failed -> false
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/core/LateAnswersTest.kt
@@ -0,0 +1,86 @@
+package oxbowlug.core
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import oxbowlug.config.SettingsFile
+import oxbowlug.standin.SimStore
+import oxbowlug.standin.World
+import oxbowlug.wire.Change
+import oxbowlug.wire.Transaction
+import kotlin.random.Random
+
+/** Answers of the state service that come when what they were about is no more. */
+class LateAnswersTest {
+    private val clock = object : Clock {
+        var now = 100_000L
+
+        override fun steadyMs() = now
+
+        override fun wallMs() = now
+    }
+    private val store = SimStore(World(1), historyLimit = 2)
+    private val timing = Timing(SettingsFile.parse(SettingsTexts.valid), Random(1))
+    private val watches = ArrayList<(ChangesOutcome) -> Unit>()
+    private val touches = ArrayList<(TouchOutcome) -> Unit>()
+    private var grants = 0
+
+    /** Watches and renewals wait until the test answers them. */
+    private inner class Port : ImmediateStatePort(store) {
+        override fun changes(prefix: String, from: Long, waitMs: Long, done: (ChangesOutcome) -> Unit) {
+            if (waitMs > 0) watches.add(done) else super.changes(prefix, from, waitMs, done)
+        }
+
+        override fun grant(lifeMs: Long, done: (Long?) -> Unit) {
+            grants++
+            done(store.grant(lifeMs))
+        }
+
+        override fun touch(lease: Long, done: (TouchOutcome) -> Unit) {
+            touches.add(done)
+        }
+    }
+
+    private val replica = Replica(Port(), clock, timing, IgnoringListener)
+    private val authority = Authority(Member("n0", "x"), Port(), clock, timing, replica, changesPerTransaction = 16)
+
+    private fun put(key: String) = store.commit(Transaction(emptyList(), listOf(Change.Put(key, mapOf("x" to 1L)))))
+
+    private fun tick() {
+        clock.now += timing.leaseTouchMs
+        replica.tick()
+        authority.tick()
+    }
+
+    @Test
+    fun `that changes before a whole read are gone doesn't cause another one`() {
+        replica.tick()
+        replica.tick()
+        assertEquals(1, watches.size)
+        repeat(3) { put("ox/x$it") }
+        replica.catchUp {}
+        replica.tick()
+        assertEquals(2, replica.wholeReads)
+        watches[0](ChangesOutcome.TooOld)
+        var isCaughtUp = false
+        clock.now += timing.catchUpGapMs
+        replica.catchUp { isCaughtUp = it }
+        assertTrue(isCaughtUp, "users are answered")
+        replica.tick()
+        assertEquals(2, replica.wholeReads)
+    }
+
+    @Test
+    fun `the renewal of a lease that was given back doesn't cut the pause short`() {
+        tick()
+        tick()
+        assertEquals(1, touches.size)
+        authority.resign()
+        touches[0](TouchOutcome.RENEWED)
+        repeat(2) { tick() }
+        assertEquals(1, grants, "no new lease before the pause is over")
+        clock.now += timing.workerLeaseRawMs
+        tick()
+        assertEquals(2, grants)
+    }
+}
