--- a/src/main/kotlin/oxbowlug/core/Replica.kt
+++ b/src/main/kotlin/oxbowlug/core/Replica.kt
@@ -226,8 +226,8 @@
             if (page == null) {
                 reading = false
                 nextReadAt = clock.steadyMs() + timing.retryMs()
-                // Read by read, the entries so far are given up: with many pages this may go on for long.
-                log.info("the page of {} after {} failed, {} entries given up", prefix, after ?: "none", entries.size)
+                // With many pages this may go on for long. In an outage the first one fails again and again.
+                if (after != null) log.info("the page after {} failed, {} entries given up", after, entries.size)
             } else {
                 contacted(sentAt)
                 // Pages are of different moments: changes since the first one are replayed over them.
