--- a/src/main/kotlin/oxbowlug/core/Commits.kt
+++ b/src/main/kotlin/oxbowlug/core/Commits.kt
@@ -178,8 +178,9 @@
     /** What the records allow from now on: starts of what is placed, and why its jobs were ready. */
     private fun summary(group: List<Prepared>): String = group.joinToString { prepared ->
         val record = prepared.record
-        val needs = prepared.job.spec.waitsOn.joinToString { "$it@${replica.job(it)?.version}" }
-        val after = if (needs.isEmpty()) "" else " after $needs"
+        val needs = if (record.placements.isEmpty()) emptyList() else prepared.job.spec.waitsOn
+        val known = needs.joinToString { "$it@${replica.job(it)?.version}" }
+        val after = if (needs.isEmpty()) "" else " after $known"
         "${prepared.job.id} ${record.phase.wire}, ${record.placements.size} placed$after"
     }
 
