--- a/src/scale/kotlin/oxbowlug/standin/Rules.kt
+++ b/src/scale/kotlin/oxbowlug/standin/Rules.kt
@@ -137,8 +137,9 @@
         val unstored = running.filterNot { (_, attempt) -> isStored(attempt) }
         unstoredSince.keys.retainAll(unstored.toSet())
         for (one in unstored) {
+            val (worker, attempt) = one
             val since = unstoredSince.getOrPut(one) { world.nowMs }
-            if (world.nowMs - since > cancelMs) fail("orphaned", "${one.second} runs on ${one.first.id}, stored nowhere")
+            if (world.nowMs - since > cancelMs) fail("orphaned", "$attempt runs on ${worker.id}, stored nowhere")
         }
     }
 
