--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/soak/Fault.kt
@@ -0,0 +1,55 @@
+package oxbowlug.soak
+
+/** What can be made to go wrong. Each kind is played alike on virtual time and on real processes. */
+enum class FaultKind {
+    KILL_CONTROLLER,
+    KILL_LEADER,
+    KILL_ALL_CONTROLLERS,
+    PAUSE_CONTROLLER,
+    PAUSE_LEADER,
+    CUT_CONTROLLER_FROM_STATE,
+    CUT_LEADER_FROM_STATE,
+    CUT_LEADER_FROM_STATE_AND_PEERS,
+    CUT_CONTROLLER_FROM_STATE_AND_PEERS,
+    CUT_CONTROLLER_FROM_PEERS,
+    CUT_LEADER_FROM_PEERS,
+    CUT_CONTROLLER_FROM_WORKERS,
+    CUT_LEADER_FROM_WORKERS,
+    CUT_CONTROLLER_FROM_USERS,
+    CUT_LEADER_FROM_CLOUD,
+    CUT_ZONE,
+    STATE_OUTAGE,
+    CLOUD_OUTAGE,
+
+    /** The leader's open reads of changes get no answer, while all its other calls are served. */
+    HOLD_LEADER_WATCH,
+    REFUSE_WRITES,
+    SLOW_WRITE_ANSWERS,
+    LOSE_WRITE_ANSWERS,
+    DELAY_WRITES,
+    FORGET_CHANGES,
+    LOSE_MESSAGES,
+    DELAY_MESSAGES,
+    REPEAT_REPORTS,
+    REPEAT_REPORTS_TO_NEXT_LEADER,
+    HOLD_PEER_FRAMES,
+    DEAF_WORKERS,
+    MUTE_WORKERS,
+    HANG_WORKERS,
+
+    /** Users call off jobs that run. */
+    CANCEL_RUNNING,
+
+    /** The same, and the machines that hold them hang. */
+    CANCEL_RUNNING_AND_HANG,
+}
+
+/**
+ * One trouble of a schedule. All times are in milliseconds since the schedule began; [target] chooses among whatever
+ * there is to choose from, by its remainder.
+ */
+data class Fault(val kind: FaultKind, val atMs: Long, val forMs: Long, val target: Int) {
+    val untilMs: Long get() = atMs + forMs
+
+    override fun toString(): String = "$atMs ms $kind, target $target, for $forMs ms"
+}
--- a/src/scale/kotlin/oxbowlug/standin/SimStore.kt
+++ b/src/scale/kotlin/oxbowlug/standin/SimStore.kt
@@ -58,6 +58,12 @@
     var refusedForRate = 0
         private set
 
+    /** Whoever asks for changes since an earlier revision has to read everything again. */
+    fun forgetChanges() {
+        droppedUpTo = revision
+        history.clear()
+    }
+
     /** Parts of records that didn't fit one value. */
     var partsWritten = 0
         private set
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -90,7 +90,7 @@
     val zone: Zone get() = settings.zone
 
     /** Users can't reach it. */
-    val isAway: Boolean get() = cut || weather.apart(zone, null)
+    val isAway: Boolean get() = cut || withoutUsers || weather.apart(zone, null)
     val isUp: Boolean get() = core != null
 
     /** Counted over all its lives. */
@@ -108,12 +108,22 @@
     /** Cut from the cloud alone. */
     var withoutCloud = false
 
+    /** Cut from the users alone. */
+    var withoutUsers = false
+
     /** Cut from the other controllers alone. */
     var withoutPeers = false
 
     /** Cut from everything. */
     var cut = false
 
+    /** Its reads of changes that wait for one get no answer. */
+    var holdsWatch = false
+
+    /** Stands still until then, as a stopped process does: its clocks run on, and what comes for it waits. */
+    var pausedUntil = 0L
+    private val pauseLeftMs: Long get() = (pausedUntil - world.nowMs).coerceAtLeast(0)
+
     fun start() {
         val life = ++lives
         // Ports belong to one life of the process: what comes back for an earlier one reaches nobody.
@@ -125,7 +135,7 @@
         started = Core(settings, self, ports, ports, ports, clock, Counting(), random, ports) {
             if (!draining) {
                 draining = true
-                world.after(0) {
+                world.after(pauseLeftMs) {
                     draining = false
                     if (lives == life && core != null) started.drain()
                 }
@@ -137,6 +147,7 @@
 
     private fun tick(life: Int, running: Core) {
         if (lives != life || core == null) return
+        if (pauseLeftMs > 0) return world.after(pauseLeftMs) { tick(life, running) }
         running.offer(Command.Tick)
         for (peer in peers()) {
             if (peer === this) continue
@@ -292,7 +303,7 @@
             if (cut || !stateUp()) return settle(5, ChangesOutcome.Failed, done)
             var answered = false
             store.watch(prefix, from, waitMs) { outcome ->
-                if (!answered && stateUp() && !cut) {
+                if (!answered && stateUp() && !cut && !holdsWatch) {
                     answered = true
                     settle(world.between(1, 5), seen(outcome), done)
                 }
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/sim/SimulatedFaults.kt
@@ -0,0 +1,96 @@
+package oxbowlug.sim
+
+import oxbowlug.soak.Fault
+import oxbowlug.soak.FaultKind
+import oxbowlug.soak.FaultSchedule
+import oxbowlug.standin.SimWorker
+
+/** Plays a drawn schedule of faults on virtual time. */
+class SimulatedFaults(private val day: Simulation) {
+    private val world = day.world
+    private val weather = day.weather
+
+    fun play(schedule: FaultSchedule) {
+        for (fault in schedule.faults) world.after(fault.atMs - world.nowMs) { begin(fault) }
+    }
+
+    private fun begin(fault: Fault) {
+        val node = day.nodes[fault.target % day.nodes.size]
+        val leader = day.leader
+        val zone = day.zones[fault.target % day.zones.size]
+        when (fault.kind) {
+            FaultKind.KILL_CONTROLLER -> kill(listOf(node), fault)
+            FaultKind.KILL_LEADER -> kill(listOf(leader), fault)
+            FaultKind.KILL_ALL_CONTROLLERS -> kill(day.nodes, fault)
+            FaultKind.PAUSE_CONTROLLER -> node.pausedUntil = world.nowMs + fault.forMs
+            FaultKind.PAUSE_LEADER -> leader.pausedUntil = world.nowMs + fault.forMs
+            FaultKind.CUT_CONTROLLER_FROM_STATE -> hold(fault) { node.withoutState = it }
+            FaultKind.CUT_LEADER_FROM_STATE -> hold(fault) { leader.withoutState = it }
+            FaultKind.CUT_LEADER_FROM_STATE_AND_PEERS -> hold(fault) { leader.isolate(it) }
+            FaultKind.CUT_CONTROLLER_FROM_STATE_AND_PEERS -> hold(fault) { node.isolate(it) }
+            FaultKind.CUT_CONTROLLER_FROM_PEERS -> hold(fault) { node.withoutPeers = it }
+            FaultKind.CUT_LEADER_FROM_PEERS -> hold(fault) { leader.withoutPeers = it }
+            FaultKind.CUT_CONTROLLER_FROM_WORKERS -> hold(fault) { node.withoutWorkers = it }
+            FaultKind.CUT_LEADER_FROM_WORKERS -> hold(fault) { leader.withoutWorkers = it }
+            FaultKind.CUT_CONTROLLER_FROM_USERS -> hold(fault) { node.withoutUsers = it }
+            FaultKind.CUT_LEADER_FROM_CLOUD -> hold(fault) { leader.withoutCloud = it }
+            FaultKind.CUT_ZONE -> hold(fault) { if (it) weather.cutZones.add(zone) else weather.cutZones.remove(zone) }
+            FaultKind.STATE_OUTAGE -> hold(fault) { day.store.down = it }
+            FaultKind.CLOUD_OUTAGE -> hold(fault) { day.cloud.down = it }
+            FaultKind.HOLD_LEADER_WATCH -> hold(fault) { leader.holdsWatch = it }
+            FaultKind.REFUSE_WRITES -> hold(fault) { weather.refusedWrites = if (it) OFTEN else 0.0 }
+            FaultKind.SLOW_WRITE_ANSWERS -> hold(fault) { weather.slowAnswers = if (it) OFTEN else 0.0 }
+            FaultKind.LOSE_WRITE_ANSWERS -> hold(fault) { weather.unansweredWrites = if (it) OFTEN else 0.0 }
+            FaultKind.DELAY_WRITES -> hold(fault) { weather.lateWrites = if (it) OFTEN else 0.0 }
+            FaultKind.FORGET_CHANGES -> day.store.forgetChanges()
+            FaultKind.LOSE_MESSAGES -> hold(fault) { weather.lost = if (it) SELDOM else 0.0 }
+            FaultKind.DELAY_MESSAGES -> hold(fault) { weather.late = if (it) SELDOM else 0.0 }
+            FaultKind.REPEAT_REPORTS -> hold(fault) { weather.lateReports = if (it) OFTEN else 0.0 }
+            FaultKind.REPEAT_REPORTS_TO_NEXT_LEADER -> hold(fault) { weather.reportsForNext = if (it) SELDOM else 0.0 }
+            FaultKind.HOLD_PEER_FRAMES -> hold(fault) { weather.heldFrames = if (it) SELDOM / 10 else 0.0 }
+            FaultKind.DEAF_WORKERS -> some(fault).forEach { it.deafUntil = world.nowMs + fault.forMs }
+            FaultKind.MUTE_WORKERS -> some(fault).forEach { it.muteUntil = world.nowMs + fault.forMs }
+            FaultKind.HANG_WORKERS -> some(fault).forEach { it.hungUntil = world.nowMs + fault.forMs }
+            FaultKind.CANCEL_RUNNING -> cancelRunning(fault)
+            FaultKind.CANCEL_RUNNING_AND_HANG -> cancelRunning(fault).forEach {
+                it.hungUntil = world.nowMs + fault.forMs
+            }
+        }
+    }
+
+    private fun SimNode.isolate(isCut: Boolean) {
+        withoutState = isCut
+        withoutPeers = isCut
+    }
+
+    private fun hold(fault: Fault, set: (Boolean) -> Unit) {
+        set(true)
+        world.after(fault.forMs) { set(false) }
+    }
+
+    private fun kill(nodes: List<SimNode>, fault: Fault) {
+        val running = nodes.filter { it.isUp }
+        running.forEach { it.crash() }
+        world.after(fault.forMs) { running.filterNot { it.isUp }.forEach { it.start() } }
+    }
+
+    private fun some(fault: Fault): List<SimWorker> =
+        day.cloud.workers.shuffled(world.random).take(1 + fault.target % MOST_WORKERS)
+
+    /** Returns the machines that hold what is called off. */
+    private fun cancelRunning(fault: Fault): Set<SimWorker> {
+        val running = day.cloud.workers.flatMap { worker ->
+            worker.onMachine().map { it.attempt.task.job.value to worker }
+        }
+        val calledOff = running.map { it.first }.distinct().shuffled(world.random).take(1 + fault.target % MOST_JOBS)
+        for (id in calledOff) world.after(world.between(0, 500)) { day.cancel(id) }
+        return running.filter { it.first in calledOff }.mapTo(LinkedHashSet()) { it.second }
+    }
+
+    private companion object {
+        const val OFTEN = 0.4
+        const val SELDOM = 0.1
+        const val MOST_WORKERS = 4
+        const val MOST_JOBS = 6
+    }
+}
