Reproduced: a lease that was counted in one session ends the next one

Cause: Fleet.expire counts from the last answered report, and ends whatever session the machine showed last. A worker that heard none of those answers begins its next session early, of which a direct command's answer tells the leader; tasks started there leave the account while they run, and Leader.onReport then renews that session without commands.

--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -142,6 +142,27 @@
         assertEquals(emptyMap<Attempt, ReportedTask>(), fleet.machines.getValue(machine).tasks, "that session is over")
     }
 
+    @Test
+    fun `a session that a direct answer shows has a lease of its own`() {
+        take(record(placed = false), 7)
+        hello(report(1))
+        val host = fleet.machines.getValue(machine)
+        clock.now += timing.workerLeaseRawMs - 1_000
+        // It heard none of our last answers, so its session ended, and the next one began without a report to us.
+        fleet.hear(report(2, session = 2), hello = false)
+        fleet.place(job, 0, host)
+        job.written(job.begin("w2"), 8)
+        val started = Attempt(TaskId(spec.id, 0), 2)
+        val running = ReportedTask(started, TaskState.RUNNING, null, false)
+        fleet.hear(report(3, session = 2, tasks = listOf(running)), hello = false)
+        clock.now += 2_000
+        fleet.expire(host, clock.now)
+        assertTrue(isHeld, "the new session's lease is not over, and the task runs")
+        clock.now += timing.workerExpiryMs
+        assertTrue(fleet.expire(host, clock.now), "a lease after it was shown, it is")
+        assertFalse(isHeld)
+    }
+
     @Test
     fun `the end of a lease proves nothing while another token may have renewed it`() {
         take(record(), 7)
