A lease counts in its own session, and one place answers whatever renews it

Cause, as a class: evidence about one thing is used for another, here of session S for S+1. Fleet.expire counted a lease from the last answer given in S, and ended S+1, which only a direct command's answer had shown. Its tasks left the account while they ran, and Leader.onReport, in a check of its own before all others, renewed that session with no commands for as long as it reported.

Change: WorkerLease is bound to the session and the only place that says whether a lease is over or a session ended. A report of an ended session is sent on (421), never renewed. LeaseRenewals makes every answer that renews (leader, one that only renews, one that hasn't read the jobs, delegate), and always with the stops of cancelled work. The right to decide is asked when it is used (DecisionBasis.mayDecide), not kept through a plan; one that only renews counts no lease as over, since a successor may have renewed it.

Traced: a report that is older than a direct command's answer still shows what has exited since.

--- a/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
+++ b/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
@@ -6,7 +6,9 @@
 import io.micrometer.core.instrument.Meter
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import oxbowlug.core.Core
+import oxbowlug.core.Invariant
 import oxbowlug.core.Meters
+import java.util.EnumMap
 import java.util.concurrent.TimeUnit
 
 /**
@@ -23,6 +25,7 @@
     private var pricedMachines = 0L
     private val refusals = HashMap<String, Refusals>()
     private val gauges = LinkedHashMap<String, () -> Number>()
+    private val violations = EnumMap<Invariant, Long>(Invariant::class.java)
     private var registry: SimpleMeterRegistry? = null
 
     private class Refusals {
@@ -45,6 +48,10 @@
         counted.count++
     }
 
+    override fun violated(invariant: Invariant) {
+        violations.merge(invariant, 1L, Long::plus)
+    }
+
     fun watch(core: Core) {
         gauges["queue.depth"] = { core.queueDepth }
         gauges["submissions.in.progress"] = { core.submissionsInProgress }
@@ -80,6 +87,7 @@
         for ((name, recorded) in durations) opened.publish(name, recorded)
         for ((name, value) in gauges) opened.publish(name, value)
         for ((reason, counted) in refusals) opened.publish(reason, counted)
+        for (invariant in Invariant.entries) opened.publish(invariant)
         FunctionCounter.builder("$PREFIX.plan.priced", this) { it.pricedMachines.toDouble() }.register(opened)
         registry = opened
         return opened
@@ -104,6 +112,11 @@
         FunctionCounter.builder("$PREFIX.refused", counted) { it.count.toDouble() }.tag("reason", reason).register(this)
     }
 
+    private fun SimpleMeterRegistry.publish(invariant: Invariant) {
+        FunctionCounter.builder("$PREFIX.invariant.violated", violations) { (it[invariant] ?: 0L).toDouble() }
+            .tag("invariant", invariant.label).register(this)
+    }
+
     private fun line(id: Meter.Id, statistic: String, value: Double): String {
         val tags = id.tags.joinToString("") { ",${it.key}=\"${it.value.replace("\"", "'")}\"" }
         return "${id.name.replace('.', '_')}{statistic=\"$statistic\"$tags} $value\n"
--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -33,6 +33,8 @@
     private val replica = Replica(state, clock, timing, Listener()) { isOurView() }
     private val authority = Authority(self, state, clock, timing, replica, settings.state.lowest.txnOps)
     private val basis = PresentBasis(clock, authority, replica)
+    private val invariants = Invariants(basis, meters)
+    private val renewals = LeaseRenewals(replica, basis)
     private val formatUpgrade = FormatUpgrade(settings, state, clock, timing, replica)
 
     // Half of the write rate is for accepting and cancelling. A controller may use all of that half, since users are
@@ -103,7 +105,7 @@
             viewIsNew = false
             answerWaiting()
         }
-        leading()?.flush(mayDecide = authority.role() is Role.Leader)
+        leading()?.flush()
         load.stepped(System.nanoTime() - began)
     }
 
@@ -206,7 +208,7 @@
         val view = replica.view
         if (view != null && report.token > view.token) authority.hearOfEpoch(report.token.value, null)
         if (role is Role.Follower && role.leader == view?.leader) {
-            delegate.renew(report)?.let { return ReportAnswer.Taken(it, replica.cancelledWork(report)) }
+            delegate.renew(report)?.let { return renewals.renew(report, it) }
             delegate.named(report)?.let { return ReportAnswer.Redirect(it.label) }
         }
         val owner = owner(report.machine, role) ?: return ReportAnswer.Unavailable
@@ -216,8 +218,8 @@
         val leading = leading() ?: return answerEarly(report, role)
         val mayMissCancellations = role is Role.RenewingOnly && !freshness.isSure()
         if (report.token > leading.view.token || mayMissCancellations) return ReportAnswer.Unavailable
-        val commands = leading.onReport(report, mayDecide = role is Role.Leader) ?: return ReportAnswer.Redirect(null)
-        return ReportAnswer.Taken(leading.view.token, commands)
+        val commands = leading.onReport(report) ?: return ReportAnswer.Redirect(null)
+        return renewals.renew(report, leading.view.token, commands)
     }
 
     /**
@@ -226,7 +228,7 @@
      */
     private fun answerEarly(report: WorkerReport, role: Role): ReportAnswer =
         if (role is Role.Leader && !replica.synced && report.token <= role.view.token)
-            ReportAnswer.Taken(role.view.token, replica.cancelledWork(report))
+            renewals.renew(report, role.view.token)
         else
             ReportAnswer.Unavailable
 
@@ -273,8 +275,8 @@
         if (!replica.synced || replica.revision < view.version) return null
         log.info("leading at epoch {}", view.epoch)
         val next = Leader(
-            view, names, settings, state, cloud, workers, clock, timing, replica, basis, leaderWrites, cloudBudget,
-            load, rememberedImages, ::mayFormerLeaderAnswer,
+            view, names, settings, state, cloud, workers, clock, timing, replica, basis, invariants, leaderWrites,
+            cloudBudget, load, rememberedImages, ::mayFormerLeaderAnswer,
         )
         leader = next
         return next
--- a/src/main/kotlin/oxbowlug/core/DecisionBasis.kt
+++ b/src/main/kotlin/oxbowlug/core/DecisionBasis.kt
@@ -4,7 +4,13 @@
  * What a decision was taken from, for the log: in force, and for how long, and how old the copy of the state service
  * is. A line of it stands beside each decision that matters, so that a broken rule can be reconstructed.
  */
-fun interface DecisionBasis {
+interface DecisionBasis {
+    /**
+     * Whether this controller leads and believes in its lease at this moment. Asked right before whatever it allows:
+     * asked once and kept through a long plan, the right had lapsed by the time it was used.
+     */
+    val mayDecide: Boolean
+
     fun describe(): String
 }
 
@@ -14,6 +20,8 @@
     private val authority: Authority,
     private val replica: Replica,
 ) : DecisionBasis {
+    override val mayDecide: Boolean get() = authority.role() is Role.Leader
+
     override fun describe(): String {
         val role = when (val role = authority.role()) {
             is Role.Leader -> "leader of epoch ${role.view.epoch} under token ${role.view.token.value}"
--- a/src/main/kotlin/oxbowlug/core/Fleet.kt
+++ b/src/main/kotlin/oxbowlug/core/Fleet.kt
@@ -29,6 +29,7 @@
     teams: Map<TeamName, Team> = emptyMap(),
     /** What a job's predecessors mean for it, as committed. */
     private val dependencyState: (List<JobId>) -> DependencyState = { DependencyState.READY },
+    private val invariants: Invariants,
 ) {
     private val limits = TeamLimits(teams, timing)
     val jobs = LinkedHashMap<JobId, Job>()
@@ -174,12 +175,16 @@
         val host = machine(report.machine) ?: return null
         val now = clock.steadyMs()
         val stamp = Stamp(report.session, report.sequence)
-        if (report.session <= host.endedSession) return host
+        if (host.lease.hasEnded(report.session)) {
+            log.info("{} is heard in session {}, which has ended", host.id, report.session)
+            return host
+        }
+        host.lease.sessionShown(report.session, now)
         if (hello) {
             // A copy of an older report renews nothing and proves nothing.
             if (stamp <= host.lastHello) return host
             host.lastHello = stamp
-            host.answeredAt = now
+            host.lease.renewed(now)
         }
         if (stamp <= host.stamp) return host
         if (report.session > host.stamp.session || report.token > host.token) {
@@ -230,7 +235,20 @@
                 remove(placed)
             }
         }
-        for (task in host.tasks.values) if (task.attempt !in host.live) adoptUnknownResult(task, now)
+        for (task in host.tasks.values) {
+            if (task.attempt in host.live) continue
+            adoptUnknownResult(task, now)
+            if (settled) requireOnePlace(host, task)
+        }
+    }
+
+    /** What the account gave up, by a proof, must not turn up beside the attempt that was placed after it. */
+    private fun requireOnePlace(host: Machine, task: ReportedTask) {
+        if (task.state != TaskState.RUNNING) return
+        val placed = jobs[task.attempt.task.job]?.live?.get(task.attempt.task.index) ?: return
+        if (placed.machine == host.id || placed.seen != TaskState.RUNNING) return
+        val what = "${task.attempt} runs on ${host.id} and ${placed.attempt} on ${placed.machine}"
+        invariants.violated(Invariant.ONE_PLACE_A_TASK, what)
     }
 
     private fun takeSeen(host: Machine, placed: Live, seen: ReportedTask, now: Long) {
@@ -328,13 +346,15 @@
         return !job.isStored(attempt)
     }
 
-    /** Proof 4: the lease that our last answer renewed is over, and no other token can have renewed it. */
+    /** Proof 4: the present session's lease is over, and no other token can have renewed it. */
     fun expire(host: Machine, now: Long): Boolean {
-        val answered = host.answeredAt ?: return false
-        if (host.lost || host.token != token || now < answered + timing.workerExpiryMs) return false
-        log.info("{} is silent and its lease is over, {} attempts are gone", host.id, host.live.size)
+        if (host.lost || host.token != token || !host.lease.isOver(now, timing.workerExpiryMs)) return false
+        log.info(
+            "{} is silent and its lease in session {} is over, counted for {} ms, {} attempts are gone",
+            host.id, host.stamp.session, host.lease.countsFromMs?.let { now - it }, host.live.size,
+        )
         host.lost = true
-        host.endedSession = host.stamp.session
+        host.lease.end()
         host.unresolved.clear()
         host.tasks = emptyMap()
         for (placed in host.live.values.toList()) {
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -28,6 +28,7 @@
     private val timing: Timing,
     private val replica: Replica,
     private val basis: DecisionBasis,
+    private val invariants: Invariants,
     writeBudget: RateBudget,
     cloudBudget: RateBudget,
     private val load: Load,
@@ -37,7 +38,7 @@
     private val startedAt = clock.steadyMs()
     val fleet = Fleet(
         view.token, clock, timing, Arrivals(settings, timing.arrivalsMs), rememberedImages, settings.teams,
-        replica::dependencyState,
+        replica::dependencyState, invariants,
     )
     val delegates = RenewalDelegates(view, settings, state, clock, timing, replica)
     private val commits = Commits(view, names, settings, state, clock, timing, writeBudget, replica, fleet, basis)
@@ -94,17 +95,19 @@
         return expected && now - last > timing.workersLostMs
     }
 
-    /** A report under our lead. Null: the machine is gone for us, and nothing may renew it. */
-    fun onReport(report: WorkerReport, mayDecide: Boolean): List<WorkerCommand>? {
+    /** The commands for a report under our lead. Null: the machine or its session is gone, and nothing may renew it. */
+    fun onReport(report: WorkerReport): List<WorkerCommand>? {
         val host = fleet.hear(report, hello = true) ?: return null
         lastReportAt = clock.steadyMs()
-        if (report.session <= host.endedSession) return emptyList()
-        // Whoever keeps a lease alive must end what was cancelled there.
-        if (!mayDecide) return replica.cancelledWork(report)
+        // A copy that came late, or our proof was wrong: renewed, the session would live on with all that was given up
+        // in it and that nobody stops there.
+        if (host.lease.hasEnded(report.session)) return null
+        if (!basis.mayDecide) return replica.cancelledWork(report)
         val stamp = Stamp(report.session, report.sequence)
         // The answer to a copy goes nowhere; it must not look as if the worker had been told.
-        if (stamp < host.lastHello) return emptyList()
-        val commands = fleet.commands(host, clock.steadyMs())
+        if (stamp < host.lastHello) return replica.cancelledWork(report)
+        val commands = storedOnly(host, fleet.commands(host, clock.steadyMs()))
+        if (stamp == host.stamp) requireStops(report, commands)
         for (command in commands) {
             if (command is WorkerCommand.Start) host.live[command.attempt]?.sentInAnswer(stamp, clock.steadyMs())
         }
@@ -122,7 +125,7 @@
         tokenPropagation.tick(now)
         rentals.tick(types)
         if (types.isNotEmpty() && (now >= nextRoundAt || (fleet.planWanted && now >= nextPlanAt))) plan(types, now)
-        flush(mayDecide = true)
+        flush()
         fleet.forgetFinished(replica)
     }
 
@@ -136,17 +139,17 @@
         for (host in fleet.machines.values.toList()) endCancelled(host, now, heartbeats)
         fleet.sweep()
         rentals.returnDue()
-        flush(mayDecide = false)
+        flush()
     }
 
-    /** Sends what the last batch of commands changed; without [mayDecide], only that cancelled work is to end. */
-    fun flush(mayDecide: Boolean) {
-        if (mayDecide) commits.flush()
+    /** Sends what the last batch of commands changed; without the right to decide, only that cancelled work is to end. */
+    fun flush() {
+        if (basis.mayDecide) commits.flush()
         val now = clock.steadyMs()
         if (fleet.pokes.isEmpty()) return
         for (id in fleet.pokes.toList()) {
             val host = fleet.machines[id]
-            if (host == null || commandDirectly(host, now, mayDecide)) fleet.pokes.remove(id)
+            if (host == null || commandDirectly(host, now)) fleet.pokes.remove(id)
         }
     }
 
@@ -207,9 +210,9 @@
      */
     private fun isWorthGivingUp(host: Machine, now: Long, types: Map<TypeName, MachineType>): Boolean {
         if (!isSuspect(host, now) || host.lost) return false
-        val answeredAt = host.answeredAt ?: return false
+        val countsFrom = host.lease.countsFromMs ?: return false
         val type = types[host.type] ?: return false
-        val leftS = (timing.workerExpiryMs - (now - answeredAt)) / 1000.0
+        val leftS = (timing.workerExpiryMs - (now - countsFrom)) / 1000.0
         return Pricing.isWorthGivingUp(planning.replicaWeight(host), leftS, type, host.spot, types.values)
     }
 
@@ -227,7 +230,8 @@
     }
 
     private fun endCancelled(host: Machine, now: Long, heartbeats: HeartbeatCounts) {
-        if (delegates.isSurelyOver(host.zone, host.answeredAt ?: now)) fleet.expire(host, now)
+        // One that only renews may have been succeeded, and its successor may have renewed this lease.
+        if (basis.mayDecide && delegates.isSurelyOver(host.zone, host.lease.countsFromMs ?: now)) fleet.expire(host, now)
         val patienceMs = if (heartbeats.isCut(host.zone)) timing.cancelPatienceCutMs else timing.cancelPatienceMs
         for (placed in host.live.values) {
             val cancelledAt = placed.job.cancelledAt ?: continue
@@ -252,13 +256,29 @@
         if (host.emptying || now - since > settings.policy.idleBoots * bootMs) rentals.scheduleReturn(host, "idle")
     }
 
+    /** The account and the copy have to agree on what is cancelled, or one of them lacks it. */
+    private fun requireStops(report: WorkerReport, commands: List<WorkerCommand>) {
+        val missing = replica.cancelledWork(report).notAmong(commands)
+        if (missing.isEmpty()) return
+        invariants.violated(Invariant.CANCELLED_WORK_IS_STOPPED, "${missing.map { it.attempt }} on ${report.machine}")
+    }
+
+    /** All starts pass here on their way out. */
+    private fun storedOnly(host: Machine, commands: List<WorkerCommand>): List<WorkerCommand> {
+        val unstored = commands.filter { it is WorkerCommand.Start && host.live[it.attempt]?.committed != true }
+        if (unstored.isEmpty()) return commands
+        invariants.violated(Invariant.STARTS_ARE_STORED, "$unstored for ${host.id}")
+        return commands - unstored.toSet()
+    }
+
     /** True once nothing is left to be said directly. */
-    private fun commandDirectly(host: Machine, now: Long, mayDecide: Boolean): Boolean {
+    private fun commandDirectly(host: Machine, now: Long): Boolean {
         val endpoint = host.endpoint ?: return true
         val heardAt = host.heardAt ?: return true
         if (!host.isSettled(fleet.token) || now - heardAt > timing.quietMs || now < host.directNotBefore) return true
         if (host.directBusy) return false
-        val commands = if (mayDecide) fleet.commands(host, now) else fleet.cancelledStops(host)
+        val commands =
+            if (basis.mayDecide) storedOnly(host, fleet.commands(host, now)) else fleet.cancelledStops(host)
         if (commands.all { it is WorkerCommand.Forget }) return true
         host.directBusy = true
         host.directInFlight = commands.filterIsInstance<WorkerCommand.Start>().map { it.attempt }
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/LeaseRenewals.kt
@@ -0,0 +1,42 @@
+package oxbowlug.core
+
+import org.slf4j.LoggerFactory
+import oxbowlug.wire.Token
+import oxbowlug.wire.WorkerCommand
+import oxbowlug.wire.WorkerReport
+
+/**
+ * The one place where a report is answered so that it renews the worker's lease: by a leader, by one that only renews,
+ * by one that hasn't read the jobs yet, and by a renewal delegate. A path of its own for one of them renewed cancelled
+ * work without stopping it, for ever.
+ */
+class LeaseRenewals(private val replica: Replica, private val basis: DecisionBasis) {
+    /**
+     * Adds the stops of cancelled work to [commands], which are a leader's own; whoever decides nothing has none. They
+     * are wanting where the report is older than a direct command's answer, and then they change nothing.
+     */
+    fun renew(
+        report: WorkerReport,
+        token: Token,
+        commands: List<WorkerCommand> = emptyList(),
+    ): ReportAnswer.Taken {
+        val all = commands + replica.cancelledWork(report).notAmong(commands)
+        if (log.isDebugEnabled) {
+            log.debug(
+                "{} is renewed in session {}, report {}, which showed token {}, with {} commands: {}",
+                report.machine, report.session, report.sequence, report.token.value, all.size, basis.describe(),
+            )
+        }
+        return ReportAnswer.Taken(token, all)
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("renewals")
+    }
+}
+
+/** Those whose attempts none of [commands] stops. */
+fun List<WorkerCommand.Stop>.notAmong(commands: List<WorkerCommand>): List<WorkerCommand.Stop> {
+    val stopped = commands.mapNotNull { (it as? WorkerCommand.Stop)?.attempt }
+    return filter { it.attempt !in stopped }
+}
--- a/src/main/kotlin/oxbowlug/core/Machine.kt
+++ b/src/main/kotlin/oxbowlug/core/Machine.kt
@@ -31,11 +31,9 @@
     var tasks: Map<Attempt, ReportedTask> = emptyMap()
     var heardAt: Long? = null
 
-    /** When we last answered a report so that the worker may have renewed its lease. */
-    var answeredAt: Long? = null
+    val lease = WorkerLease()
 
-    /** The session that our proof has ended; nothing that it says counts any more. */
-    var endedSession = 0L
+    /** Its lease is over, and nothing was heard of it since. */
     var lost = false
     var noticeUntil: Long? = null
     var idleSince: Long? = null
--- a/src/main/kotlin/oxbowlug/core/Meters.kt
+++ b/src/main/kotlin/oxbowlug/core/Meters.kt
@@ -14,4 +14,6 @@
     fun committed(millis: Long)
 
     fun refused(reason: String)
+
+    fun violated(invariant: Invariant)
 }
--- /dev/null
+++ b/src/main/kotlin/oxbowlug/core/WorkerLease.kt
@@ -0,0 +1,41 @@
+package oxbowlug.core
+
+/**
+ * What a leader knows of one worker's lease under its own token. All times are milliseconds of the leader's steady
+ * clock. A lease belongs to a session: what was answered in one says nothing of the next, which begins with a full
+ * lease of its own, without any answer.
+ */
+class WorkerLease {
+    private var session = 0L
+    private var endedSession = 0L
+
+    /** From when the present session's lease counts at the latest; null: the worker was never heard. */
+    var countsFromMs: Long? = null
+        private set
+
+    /**
+     * Some message, a direct command's answer too, shows [shown]. Counted on from an answer in the session before, the
+     * new session's tasks were given up and started elsewhere while they ran (docs/incidents/broke-at-size-2.md).
+     */
+    fun sessionShown(shown: Long, now: Long) {
+        if (shown <= session) return
+        session = shown
+        countsFromMs = now
+    }
+
+    /** A report is being answered so that it renews the lease; the worker counts from when it sent that report. */
+    fun renewed(now: Long) {
+        countsFromMs = now
+    }
+
+    /** Whether it has run out, as long as nobody else may have renewed it. */
+    fun isOver(now: Long, expiryMs: Long): Boolean = countsFromMs?.let { now >= it + expiryMs } ?: false
+
+    /** It has run out, and with it the session that was shown last. */
+    fun end() {
+        endedSession = session
+    }
+
+    /** Whether [reported] has ended. Nothing that a message of it says counts, and nothing may renew it. */
+    fun hasEnded(reported: Long): Boolean = reported <= endedSession
+}
--- a/src/test/kotlin/oxbowlug/core/CommitsTest.kt
+++ b/src/test/kotlin/oxbowlug/core/CommitsTest.kt
@@ -42,7 +42,7 @@
         }
     }
 
-    private val fleet = Fleet(Token(1), clock, timing, Arrivals(settings, 60_000))
+    private val fleet = Fleet(Token(1), clock, timing, Arrivals(settings, 60_000), invariants = failingInvariants)
     private lateinit var commits: Commits
 
     private fun put(key: String, value: Map<String, Any?>) {
--- a/src/test/kotlin/oxbowlug/core/FleetTest.kt
+++ b/src/test/kotlin/oxbowlug/core/FleetTest.kt
@@ -42,7 +42,7 @@
     private val settings = SettingsFile.parse(SettingsTexts.valid, Policy())
     private val timing = Timing(settings, Random(1))
     private val token = Token(5)
-    private val fleet = Fleet(token, clock, timing, Arrivals(settings, 60_000))
+    private val fleet = Fleet(token, clock, timing, Arrivals(settings, 60_000), invariants = failingInvariants)
     private val machine = MachineId("host-000001")
     private val spec = JobSpecCodec.decode(JobSpecCodecTest.valid())
     private val attempt = Attempt(TaskId(spec.id, 0), 1)
@@ -79,7 +79,11 @@
     @Test
     fun `a job that waits for others is never placed`() {
         var state = DependencyState.WAITING
-        val waiting = Fleet(token, clock, timing, Arrivals(settings, 60_000), dependencyState = { state })
+        val waiting = Fleet(
+            token, clock, timing, Arrivals(settings, 60_000), dependencyState = {
+                state
+            }, invariants = failingInvariants,
+        )
         val needy = spec.copy(waitsOn = listOf(JobId("run-needed")))
         val value = Cbor.decode(Cbor.encode(JobRecord(needy, 0, Phase.ACTIVE, BitSet(), 1, emptyMap(), "w").encode()))
         waiting.takeJob(spec.id, StoredJob(Phase.ACTIVE, 1, spec.tasks, 0, 0, value), value)
@@ -107,7 +111,10 @@
         class Case(val maxGpus: Double, val isStarted: Boolean)
         for (case in listOf(Case(1.5, isStarted = false), Case(2.0, isStarted = true))) {
             val team = Team(spec.team, 0.0, 1e9, 0.0, spec.gpus * case.maxGpus)
-            val here = Fleet(token, clock, timing, Arrivals(settings, 60_000), teams = mapOf(team.name to team))
+            val here = Fleet(
+                token, clock, timing, Arrivals(settings, 60_000), teams = mapOf(team.name to team),
+                invariants = failingInvariants,
+            )
             for (id in listOf(spec.id, JobId("run-000999"))) {
                 val stored = JobRecord(
                     spec.copy(id = id), 0, Phase.ACTIVE, BitSet(), 2, mapOf(0 to Placement(machine, 1)), "w-$id",
--- a/src/test/kotlin/oxbowlug/core/JobRequestsTest.kt
+++ b/src/test/kotlin/oxbowlug/core/JobRequestsTest.kt
@@ -51,24 +51,12 @@
         }
     }
 
-    private object NoMeters : Meters {
-        override fun stepped(nanos: Long) = Unit
-
-        override fun planned(nanos: Long, priced: Int) = Unit
-
-        override fun waited(millis: Long) = Unit
-
-        override fun committed(millis: Long) = Unit
-
-        override fun refused(reason: String) = Unit
-    }
-
     private val timing = Timing(settings, Random(1))
     private val replica = Replica(Port(), clock, timing, IgnoringListener)
     private val told = ArrayList<String>()
 
     private fun jobRequests(copy: Replica) = JobRequests(
-        Names(Member("n0", "x")), settings, Port(), clock, timing, copy, RateBudget(10.0), NoMeters,
+        Names(Member("n0", "x")), settings, Port(), clock, timing, copy, RateBudget(10.0), FailingMeters,
         onCancelled = { id, _, value -> told.add("confirmed $id of ${machines(value)} machines") },
         onAnsweredCancelled = { told.add("told $it") },
         basis = noBasis,
@@ -214,7 +202,7 @@
         val copy = Replica(Port(), clock, timing, IgnoringListener).apply { tick() }
         val jobRequests = JobRequests(
             Names(Member("n0", "x")), settings.copy(state = small), Port(), clock, timing, copy, RateBudget(10.0),
-            NoMeters, { _, _, _ -> }, {}, noBasis,
+            FailingMeters, { _, _, _ -> }, {}, noBasis,
         )
         val before = store.revision
         val answers = ArrayList<UserAnswer>()
@@ -241,7 +229,7 @@
             told.clear()
             val jobRequests = JobRequests(
                 Names(Member("n0", "x")), settings.copy(state = settings.state.copy(next = limits)), Port(), clock,
-                timing, copy, RateBudget(10.0), NoMeters,
+                timing, copy, RateBudget(10.0), FailingMeters,
                 { id, _, value -> told.add("confirmed $id of ${machines(value)} machines") }, {}, noBasis,
             )
             val answers = ArrayList<UserAnswer>()
--- a/src/test/kotlin/oxbowlug/core/TestDoubles.kt
+++ b/src/test/kotlin/oxbowlug/core/TestDoubles.kt
@@ -19,7 +19,28 @@
 }
 
 /** For tests of decisions, not of what is logged beside them. */
-val noBasis = DecisionBasis { "" }
+val noBasis = object : DecisionBasis {
+    override val mayDecide = true
+
+    override fun describe() = ""
+}
+
+/** A violated invariant fails the test. */
+object FailingMeters : Meters {
+    override fun planned(nanos: Long, priced: Int) = Unit
+
+    override fun stepped(nanos: Long) = Unit
+
+    override fun waited(millis: Long) = Unit
+
+    override fun committed(millis: Long) = Unit
+
+    override fun refused(reason: String) = Unit
+
+    override fun violated(invariant: Invariant): Nothing = throw AssertionError("${invariant.label} is violated")
+}
+
+val failingInvariants = Invariants(noBasis, FailingMeters)
 
 /** Answers at once from the store; watches stay open, and there are no leases. */
 open class ImmediateStatePort(private val store: SimStore) : StatePort {
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -9,6 +9,7 @@
 import oxbowlug.core.CommitOutcome
 import oxbowlug.core.Core
 import oxbowlug.core.DirectOutcome
+import oxbowlug.core.Invariant
 import oxbowlug.core.Member
 import oxbowlug.core.Meters
 import oxbowlug.core.PeerPort
@@ -390,6 +391,9 @@
         override fun committed(millis: Long) = Unit
 
         override fun refused(reason: String) = Unit
+
+        override fun violated(invariant: Invariant): Nothing =
+            throw AssertionError("${world.nowMs} ms $label: ${invariant.label} is violated")
     }
 
     private companion object {
