A soak: drawn troubles on real controllers over loopback, judged from outside

Change: oxbowlug.soak in src/scale, on the scale run's stand-ins: FaultSchedule's groups of overlapping troubles, users who go on submitting, also in stages, and cancel just as they begin; Rules with what is stored, the controllers' own violation lines, and at the end whatever isn't served or answered for. A run in which the stand-ins stood still for a quarter of a lease is invalid, neither passed nor left out. Network cuts single links in one direction, StateFaults and the cloud's outage are in the servers; the stand-ins' clock follows before anything is dated.

--- a/src/main/kotlin/oxbowlug/core/Core.kt
+++ b/src/main/kotlin/oxbowlug/core/Core.kt
@@ -275,7 +275,7 @@
         if (!replica.synced || replica.revision < view.version) return null
         log.info("leading at epoch {}", view.epoch)
         val next = Leader(
-            view, names, settings, state, cloud, workers, clock, timing, replica, basis, invariants, leaderWrites,
+            view, names, settings, state, cloud, workers, clock, timing, replica, invariants, leaderWrites,
             cloudBudget, load, rememberedImages, ::mayFormerLeaderAnswer,
         )
         leader = next
--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -27,7 +27,6 @@
     private val clock: Clock,
     private val timing: Timing,
     private val replica: Replica,
-    private val basis: DecisionBasis,
     private val invariants: Invariants,
     writeBudget: RateBudget,
     cloudBudget: RateBudget,
@@ -35,6 +34,7 @@
     rememberedImages: Map<MachineId, List<ImageName>>,
     mayBeAnswered: () -> Boolean,
 ) {
+    private val basis = invariants.basis
     private val startedAt = clock.steadyMs()
     val fleet = Fleet(
         view.token, clock, timing, Arrivals(settings, timing.arrivalsMs), rememberedImages, settings.teams,
@@ -142,7 +142,7 @@
         flush()
     }
 
-    /** Sends what the last batch of commands changed; without the right to decide, only that cancelled work is to end. */
+    /** Sends what the last batch changed; without the right to decide, only that cancelled work is to end. */
     fun flush() {
         if (basis.mayDecide) commits.flush()
         val now = clock.steadyMs()
@@ -231,7 +231,8 @@
 
     private fun endCancelled(host: Machine, now: Long, heartbeats: HeartbeatCounts) {
         // One that only renews may have been succeeded, and its successor may have renewed this lease.
-        if (basis.mayDecide && delegates.isSurelyOver(host.zone, host.lease.countsFromMs ?: now)) fleet.expire(host, now)
+        val mayBeOver = basis.mayDecide && delegates.isSurelyOver(host.zone, host.lease.countsFromMs ?: now)
+        if (mayBeOver) fleet.expire(host, now)
         val patienceMs = if (heartbeats.isCut(host.zone)) timing.cancelPatienceCutMs else timing.cancelPatienceMs
         for (placed in host.live.values) {
             val cancelledAt = placed.job.cancelledAt ?: continue
--- a/src/scale/kotlin/oxbowlug/scale/CloudServer.kt
+++ b/src/scale/kotlin/oxbowlug/scale/CloudServer.kt
@@ -25,10 +25,11 @@
 
     fun start(vertx: Vertx, topology: Topology): List<Future<*>> = topology.controllers.map { controller ->
         vertx.serveCbor(controller.cloudHost, topology.ports.cloud) { exchange ->
-            network.deliver(controller.zone, null) {
+            val caller = Endpoint.Controller(controller)
+            network.deliver(caller, Endpoint.CloudProvider) {
                 exchange.guarded {
                     val (status, body) = answer(exchange, controller, topology.ports.workers)
-                    network.deliver(null, controller.zone) { exchange.reply(status, body) }
+                    network.deliver(Endpoint.CloudProvider, caller) { exchange.reply(status, body) }
                 }
             }
         }
@@ -36,6 +37,7 @@
 
     private fun answer(exchange: HttpExchange, controller: ControllerPlace, port: Int): Pair<Int, Map<String, Any?>> {
         traffic.cloudCalls++
+        if (cloud.down) return Status.UNAVAILABLE to mapOf("error" to "trouble")
         if (!requests.take()) return Status.TOO_MANY to mapOf("error" to "rate")
         return when (exchange.path) {
             "/machine_types" -> Status.OK to mapOf("breeds" to cloud.types.map(Wire::encodeType))
--- a/src/scale/kotlin/oxbowlug/scale/ControllerFiles.kt
+++ b/src/scale/kotlin/oxbowlug/scale/ControllerFiles.kt
@@ -3,7 +3,13 @@
 import java.io.File
 
 /** The settings, policy and start command of each controller, as the platform would hand them over. */
-class ControllerFiles(private val options: ScaleOptions, private val topology: Topology, private val fleet: FleetPlan) {
+class ControllerFiles(
+    private val options: ScaleOptions,
+    private val topology: Topology,
+    private val fleet: FleetPlan,
+    /** Starts the controllers from these classes instead of the deployed jar, which tests don't have yet. */
+    private val classPath: String? = null,
+) {
     private val folder = options.output
 
     fun processes(): List<ControllerProcess> {
@@ -38,11 +44,18 @@
     private fun startCommand(): List<String> {
         val line = options.deploy.readLines().firstOrNull { it.startsWith(RUN) }
             ?: throw StartFailed("${options.deploy}: has no run command")
-        val words = line.substringAfter('"').substringBeforeLast('"').split(' ')
+        val words = ownClasses(line.substringAfter('"').substringBeforeLast('"').split(' '))
         val heap = options.heapMb ?: return words
         return words.map { word -> if (word.startsWith("-Xmx")) "-Xmx${heap}m" else word }
     }
 
+    private fun ownClasses(words: List<String>): List<String> {
+        if (classPath == null) return words
+        val jar = words.indexOf("-jar")
+        val flags = words.take(jar).filterNot { it.startsWith("-XX:SharedArchiveFile") }
+        return flags + listOf("-cp", classPath, "oxbowlug.cli.MainKt") + words.drop(jar + 2)
+    }
+
     private fun settings(place: ControllerPlace): String = buildString {
         appendLine("label = \"${place.label}\"")
         appendLine("location = \"${place.zone}\"")
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/Endpoint.kt
@@ -0,0 +1,26 @@
+package oxbowlug.scale
+
+import oxbowlug.wire.Zone
+
+/** One end of a message. Users, cloud and state service belong to no zone. */
+sealed interface Endpoint {
+    val zone: Zone?
+
+    data class Controller(val place: ControllerPlace) : Endpoint {
+        override val zone: Zone get() = place.zone
+    }
+
+    data class Worker(override val zone: Zone) : Endpoint
+
+    data object StateService : Endpoint {
+        override val zone: Zone? = null
+    }
+
+    data object CloudProvider : Endpoint {
+        override val zone: Zone? = null
+    }
+
+    data object UserSide : Endpoint {
+        override val zone: Zone? = null
+    }
+}
--- a/src/scale/kotlin/oxbowlug/scale/HollowWorkers.kt
+++ b/src/scale/kotlin/oxbowlug/scale/HollowWorkers.kt
@@ -36,24 +36,26 @@
     fun targets(number: Int, zone: Zone, controllers: List<ControllerPlace>): List<ReportTarget> =
         controllers.map { Target(number, zone, it) }
 
-    private inner class Target(number: Int, private val zone: Zone, private val controller: ControllerPlace) :
+    private inner class Target(number: Int, zone: Zone, private val controller: ControllerPlace) :
         ReportTarget {
         override val label: String get() = controller.label
+        private val near = Endpoint.Worker(zone)
+        private val far = Endpoint.Controller(controller)
         private val endpoint = "${WorkerAddresses.host(number, controller.index)}:$workerPort"
         private var connection: HttpClientConnection? = null
 
         override fun receive(report: WorkerReport, answer: (ReportAnswer?) -> Unit) {
             val bytes = Cbor.encode(Wire.encodeReport(report.copy(endpoint = endpoint)))
             traffic.reports.count(bytes.size, Traffic.REQUEST_HEADER_BYTES)
-            network.deliver(zone, controller.zone) {
+            network.deliver(near, far) {
                 connected()
                     .compose { open -> post(open, bytes) }
                     .compose { response -> response.body().map { body -> decode(response, body) } }
-                    .onSuccess { decoded -> network.deliver(controller.zone, zone) { answer(decoded) } }
+                    .onSuccess { decoded -> network.deliver(far, near) { answer(decoded) } }
                     .onFailure {
                         traffic.failedReports++
                         close()
-                        network.deliver(controller.zone, zone) { answer(null) }
+                        network.deliver(far, near) { answer(null) }
                     }
             }
         }
@@ -130,19 +132,22 @@
     private fun answer(exchange: HttpExchange, worker: SimWorker, controller: ControllerPlace) {
         traffic.directCommands.count(exchange.bodySize, Traffic.REQUEST_HEADER_BYTES)
 
-        fun reply(status: Int, report: WorkerReport) = network.deliver(worker.zone, controller.zone) {
+        val near = Endpoint.Worker(worker.zone)
+        val far = Endpoint.Controller(controller)
+
+        fun reply(status: Int, report: WorkerReport) = network.deliver(near, far) {
             val endpoint = "${exchange.request.localAddress().host()}:${topology.ports.workers}"
             val size = exchange.reply(status, Wire.encodeReport(report.copy(endpoint = endpoint)))
             traffic.directAnswers.count(size, Traffic.RESPONSE_HEADER_BYTES)
         }
         if (exchange.path == "/status") {
-            return network.deliver(controller.zone, worker.zone) { worker.status { reply(Status.OK, it) } }
+            return network.deliver(far, near) { worker.status { reply(Status.OK, it) } }
         }
         val fields = exchange.body().fields()
         val token = Token(fields.count("brand"))
         val session = fields.count("shift")
         val commands = Wire.decodeCommands(fields)
-        network.deliver(controller.zone, worker.zone) {
+        network.deliver(far, near) {
             worker.direct(token, session, commands) { report, executed ->
                 reply(if (executed) Status.OK else Status.CONFLICT, report)
             }
--- a/src/scale/kotlin/oxbowlug/scale/Network.kt
+++ b/src/scale/kotlin/oxbowlug/scale/Network.kt
@@ -4,11 +4,11 @@
 import oxbowlug.wire.Zone
 
 /**
- * Latencies between zones and regions, and cuts between them. A cut holds what is sent and delivers it in order when
- * it ends, as the protocol warns: so commands, reports and transactions arrive late.
+ * Latencies between zones and regions, and cuts between them or between single ends. A cut holds what is sent and
+ * delivers it in order when it ends, as the protocol warns: so commands, reports and transactions arrive late.
  */
 class Network(private val world: World, private val topology: Topology) {
-    private class Cut(val untilMs: Long, val parts: (Zone?, Zone?) -> Boolean)
+    private class Cut(val untilMs: Long, val parts: (Endpoint, Endpoint) -> Boolean)
 
     private val cuts = ArrayList<Cut>()
 
@@ -16,6 +16,13 @@
     var held = 0L
         private set
 
+    /** Called as a message is handed over: a clock that fell behind has to follow before it is dated. */
+    var beforeDelivery: () -> Unit = {}
+
+    /** Shares of the messages between controllers and workers that are lost, or come [LATE_MS] later. */
+    var lostToWorkers = 0.0
+    var lateToWorkers = 0.0
+
     /** One way, in milliseconds: real networks of this shape, rounded. */
     private fun latencyMs(from: Zone?, to: Zone?): Long = when {
         from == to -> SAME_ZONE_MS
@@ -23,35 +30,44 @@
         else -> OTHER_REGION_MS
     }
 
-    fun cutZone(zone: Zone, forMs: Long) {
-        cuts.add(Cut(world.nowMs + forMs) { from, to -> from != to && (from == zone || to == zone) })
+    fun cutZone(zone: Zone, forMs: Long) = cutZones(forMs) { from, to -> from != to && (from == zone || to == zone) }
+
+    fun cutRegions(one: Int, other: Int, forMs: Long) = cutZones(forMs) { from, to ->
+        setOf(topology.region(from), topology.region(to)) == setOf(one, other)
     }
 
-    fun cutRegions(one: Int, other: Int, forMs: Long) {
-        cuts.add(
-            Cut(world.nowMs + forMs) { from, to ->
-                setOf(topology.region(from), topology.region(to)) == setOf(one, other)
-            },
-        )
+    private fun cutZones(forMs: Long, parts: (Zone?, Zone?) -> Boolean) =
+        cutLinks(forMs) { from, to -> parts(from.zone, to.zone) }
+
+    /** Cuts all messages for which [parts] holds, in that direction alone. */
+    fun cutLinks(forMs: Long, parts: (Endpoint, Endpoint) -> Boolean) {
+        cuts.add(Cut(world.nowMs + forMs, parts))
     }
 
-    fun isCut(from: Zone?, to: Zone?): Boolean = heldUntil(from, to) > world.nowMs
+    fun isCut(from: Endpoint, to: Endpoint): Boolean = heldUntil(from, to) > world.nowMs
 
-    private fun heldUntil(from: Zone?, to: Zone?): Long {
+    private fun heldUntil(from: Endpoint, to: Endpoint): Long {
         cuts.removeIf { it.untilMs <= world.nowMs }
         return cuts.filter { it.parts(from, to) }.maxOfOrNull { it.untilMs } ?: 0L
     }
 
     /** Runs [action] at the other end, once the message has got there. */
-    fun deliver(from: Zone?, to: Zone?, action: () -> Unit) {
+    fun deliver(from: Endpoint, to: Endpoint, action: () -> Unit) {
+        beforeDelivery()
         val until = if (cuts.isEmpty()) 0L else heldUntil(from, to)
         if (until > world.nowMs) held++
-        world.after(maxOf(until - world.nowMs, 0L) + latencyMs(from, to), action)
+        val isToWorker = from is Endpoint.Worker || to is Endpoint.Worker
+        if (isToWorker && happens(lostToWorkers)) return
+        val lateMs = if (isToWorker && happens(lateToWorkers)) world.between(LATE_MS) else 0L
+        world.after(maxOf(until - world.nowMs, 0L) + latencyMs(from.zone, to.zone) + lateMs, action)
     }
 
+    private fun happens(share: Double): Boolean = share > 0.0 && world.chance(share)
+
     private companion object {
         const val SAME_ZONE_MS = 0L
         const val SAME_REGION_MS = 1L
         const val OTHER_REGION_MS = 25L
+        val LATE_MS = 1_000L..8_000L
     }
 }
--- a/src/scale/kotlin/oxbowlug/scale/PeerProxies.kt
+++ b/src/scale/kotlin/oxbowlug/scale/PeerProxies.kt
@@ -33,9 +33,9 @@
     private fun forward(source: NetSocket, sink: NetSocket, from: ControllerPlace, to: ControllerPlace) {
         source.handler { bytes ->
             traffic.peerBytes.count(bytes.length(), 0)
-            network.deliver(from.zone, to.zone) { sink.write(bytes) }
+            network.deliver(Endpoint.Controller(from), Endpoint.Controller(to)) { sink.write(bytes) }
         }
-        source.closeHandler { network.deliver(from.zone, to.zone) { sink.close() } }
+        source.closeHandler { network.deliver(Endpoint.Controller(from), Endpoint.Controller(to)) { sink.close() } }
         source.exceptionHandler { }
     }
 }
--- a/src/scale/kotlin/oxbowlug/scale/ScaleRun.kt
+++ b/src/scale/kotlin/oxbowlug/scale/ScaleRun.kt
@@ -15,6 +15,9 @@
 /** The stand-ins' time follows the real one; how far it fell behind says whether the stand-ins kept up. */
 class RealTime(vertx: Vertx, private val world: World) {
     private val beganNs = System.nanoTime()
+    private var isAdvancing = false
+
+    /** The longest that the stand-ins stood still, in milliseconds. */
     var latestMs = 0L
 
     @Volatile
@@ -22,13 +25,23 @@
 
     init {
         vertx.setPeriodic(STEP_MS) {
-            if (isStopped) return@setPeriodic
-            val now = (System.nanoTime() - beganNs) / NS_PER_MS
-            latestMs = maxOf(latestMs, now - world.nowMs)
-            world.advanceTo(now)
+            follow()
         }
     }
 
+    /**
+     * Runs all that is due. What comes from outside after the stand-ins stood still must not be dated before what
+     * happened meanwhile: a lease that ran out would look as if it were still in force.
+     */
+    fun follow() {
+        if (isStopped || isAdvancing) return
+        isAdvancing = true
+        val now = (System.nanoTime() - beganNs) / NS_PER_MS
+        latestMs = maxOf(latestMs, now - world.nowMs)
+        world.advanceTo(now)
+        isAdvancing = false
+    }
+
     /** Nothing that is due runs any more: what it would use is being closed. */
     fun stop() {
         isStopped = true
@@ -65,7 +78,7 @@
     val controllers: List<ControllerProcess> = ControllerFiles(options, topology, plan).processes()
     private val sampler = Sampler(controllers)
     private val meters = MeterReader(vertx)
-    val clock = RealTime(vertx, world)
+    val clock = RealTime(vertx, world).also { network.beforeDelivery = it::follow }
     private val samples = ArrayList<Sample>()
     private val results = ArrayList<ScenarioResult>()
     private var filledInS = 0.0
--- a/src/scale/kotlin/oxbowlug/scale/StateServer.kt
+++ b/src/scale/kotlin/oxbowlug/scale/StateServer.kt
@@ -20,28 +20,29 @@
     private val network: Network,
     private val traffic: Traffic,
     rps: Double,
+    private val faults: StateFaults = StateFaults(),
 ) {
     private val requests = RequestLimit(world, rps, burstS = 1)
 
     fun start(vertx: Vertx, topology: Topology): List<Future<*>> = topology.controllers.map { controller ->
         vertx.serveCbor(controller.stateHost, topology.ports.state) { exchange ->
-            network.deliver(controller.zone, null) {
+            network.deliver(Endpoint.Controller(controller), Endpoint.StateService) {
                 exchange.guarded { answer(Call(exchange, controller)) }
             }
         }
     }
 
-    private inner class Call(val exchange: HttpExchange, private val controller: ControllerPlace) {
+    private inner class Call(val exchange: HttpExchange, val controller: ControllerPlace) {
         /** Usually within a few milliseconds, and a few times in a thousand within some hundred. */
         fun reply(status: Int, body: Map<String, Any?>) {
-            val pause = if (world.chance(SLOW_SHARE)) world.between(SLOW_MS) else world.between(USUAL_MS)
-            world.after(pause) {
-                network.deliver(null, controller.zone) { exchange.reply(status, body) }
-            }
+            replyAfter(if (world.chance(SLOW_SHARE)) world.between(SLOW_MS) else world.between(USUAL_MS), status, body)
+        }
+
+        fun replyAfter(pauseMs: Long, status: Int, body: Map<String, Any?>) = world.after(pauseMs) {
+            network.deliver(Endpoint.StateService, Endpoint.Controller(controller)) { exchange.reply(status, body) }
         }
 
-        fun replyNow(body: Map<String, Any?>) =
-            network.deliver(null, controller.zone) { exchange.reply(Status.OK, body) }
+        fun replyNow(body: Map<String, Any?>) = replyAfter(0, Status.OK, body)
     }
 
     private fun answer(call: Call) {
@@ -50,6 +51,9 @@
             traffic.stateRefused++
             return call.reply(Status.TOO_MANY, mapOf("error" to "rate"))
         }
+        if (store.down || call.controller.index in faults.refusedControllers) {
+            return call.reply(Status.UNAVAILABLE, mapOf("error" to "trouble"))
+        }
         val path = exchange.path
         val method = exchange.request.method()
         when {
@@ -88,16 +92,31 @@
 
     private fun commit(call: Call) {
         traffic.stateCommits++
-        when (val outcome = store.commit(Wire.decodeTransaction(call.exchange.body()))) {
-            is CommitOutcome.Applied -> call.reply(Status.OK, mapOf("ledger" to outcome.revision))
-            is CommitOutcome.Conflict ->
-                call.reply(Status.CONFLICT, mapOf("failed" to outcome.failed, "ledger" to store.revision))
-            CommitOutcome.LeaseOver -> call.reply(Status.BAD_REQUEST, mapOf("error" to "no such lease"))
-            CommitOutcome.Invalid -> call.reply(Status.BAD_REQUEST, mapOf("error" to "larger than the limits"))
-            CommitOutcome.Refused, CommitOutcome.Unanswered -> {
-                traffic.stateRefused++
-                call.reply(Status.TOO_MANY, mapOf("error" to "rate"))
+        val transaction = Wire.decodeTransaction(call.exchange.body())
+        when {
+            happens(faults.refusedWrites) -> call.reply(Status.TOO_MANY, mapOf("error" to "rate"))
+            happens(faults.lateWrites) -> world.after(world.between(LATE_WRITE_MS)) {
+                if (!store.down) store.commit(transaction)
+            }
+            happens(faults.lostAnswers) -> store.commit(transaction)
+            happens(faults.slowAnswers) -> answer(store.commit(transaction)) { status, body ->
+                call.replyAfter(world.between(SLOW_ANSWER_MS), status, body)
             }
+            else -> answer(store.commit(transaction), call::reply)
+        }
+    }
+
+    private fun happens(share: Double): Boolean = share > 0.0 && world.chance(share)
+
+    private fun answer(outcome: CommitOutcome, reply: (Int, Map<String, Any?>) -> Unit) = when (outcome) {
+        is CommitOutcome.Applied -> reply(Status.OK, mapOf("ledger" to outcome.revision))
+        is CommitOutcome.Conflict ->
+            reply(Status.CONFLICT, mapOf("failed" to outcome.failed, "ledger" to store.revision))
+        CommitOutcome.LeaseOver -> reply(Status.BAD_REQUEST, mapOf("error" to "no such lease"))
+        CommitOutcome.Invalid -> reply(Status.BAD_REQUEST, mapOf("error" to "larger than the limits"))
+        CommitOutcome.Refused, CommitOutcome.Unanswered -> {
+            traffic.stateRefused++
+            reply(Status.TOO_MANY, mapOf("error" to "rate"))
         }
     }
 
@@ -113,7 +132,9 @@
         } else {
             traffic.stateWatches++
             store.watch(prefix, from, minOf(waitMs, MAX_WAIT_MS)) { outcome ->
-                encode(outcome)?.let(call::replyNow) ?: call.reply(Status.GONE, emptyMap())
+                if (call.controller.index !in faults.heldWatches) {
+                    encode(outcome)?.let(call::replyNow) ?: call.reply(Status.GONE, emptyMap())
+                }
             }
         }
     }
@@ -147,5 +168,7 @@
         const val SLOW_SHARE = 0.003
         val SLOW_MS = 100L..400L
         val USUAL_MS = 1L..6L
+        val LATE_WRITE_MS = 1_000L..8_000L
+        val SLOW_ANSWER_MS = 50L..900L
     }
 }
--- a/src/scale/kotlin/oxbowlug/scale/Users.kt
+++ b/src/scale/kotlin/oxbowlug/scale/Users.kt
@@ -165,7 +165,8 @@
             done(answer)
         }
         world.after(timeoutMs) { end(null) }
-        network.deliver(null, controller.zone) {
+        val far = Endpoint.Controller(controller)
+        network.deliver(Endpoint.UserSide, far) {
             val options = RequestOptions().setHost(controller.clientHost).setPort(controller.clientPort)
                 .setMethod(method).setURI(path).setConnectTimeout(timeoutMs).setIdleTimeout(timeoutMs)
             client.request(options)
@@ -174,8 +175,8 @@
                     request.send(bytes).onFailure { request.reset() }
                 }
                 .compose { response -> response.body().map { bytes -> decode(response, bytes) } }
-                .onSuccess { answer -> network.deliver(controller.zone, null) { end(answer) } }
-                .onFailure { network.deliver(controller.zone, null) { end(null) } }
+                .onSuccess { answer -> network.deliver(far, Endpoint.UserSide) { end(answer) } }
+                .onFailure { network.deliver(far, Endpoint.UserSide) { end(null) } }
         }
     }
 
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/soak/SoakLoad.kt
@@ -0,0 +1,78 @@
+package oxbowlug.soak
+
+import oxbowlug.scale.FleetPlan
+import oxbowlug.scale.HollowFleet
+import oxbowlug.scale.PlannedJob
+import oxbowlug.scale.Users
+import oxbowlug.standin.SimWorker
+import oxbowlug.standin.World
+import oxbowlug.wire.JobId
+
+/** Users who go on submitting, asking and cancelling through all troubles, some of them work in stages. */
+class SoakLoad(
+    private val world: World,
+    private val plan: FleetPlan,
+    private val fleet: HollowFleet,
+    private val users: Users,
+) {
+    fun begin(untilMs: Long) {
+        plan.standingJobs().forEach(::submit)
+        next(untilMs)
+    }
+
+    private fun next(untilMs: Long) {
+        world.after(world.between(JOB_EVERY_MS)) {
+            if (world.nowMs < untilMs) {
+                submitOne()
+                next(untilMs)
+            }
+        }
+    }
+
+    private fun submitOne() {
+        when (world.random.nextInt(KINDS)) {
+            0 -> submit(plan.urgentJob(world.between(TASKS).toInt()))
+            1 -> submit(plan.batchJob(world.between(TASKS).toInt(), runS = LONG_RUN_S))
+            2 -> submitStages()
+            else -> submit(plan.batchJob(world.between(TASKS).toInt(), runS = SHORT_RUN_S))
+        }
+    }
+
+    private fun submitStages() {
+        val first = plan.batchJob(world.between(TASKS).toInt(), SHORT_RUN_S)
+        val second = plan.batchJob(world.between(TASKS).toInt(), SHORT_RUN_S)
+        val waiting = PlannedJob(second.spec.copy(waitsOn = listOf(first.spec.id)), second.runMs)
+        submit(first) { submit(waiting) }
+    }
+
+    private fun submit(job: PlannedJob) = submit(job) { }
+
+    private fun submit(job: PlannedJob, onAccepted: () -> Unit) {
+        fleet.expect(job)
+        users.submit(job) {
+            onAccepted()
+            if (world.chance(CANCELLED)) world.after(world.between(CANCEL_AFTER_MS)) { users.cancel(job.spec.id) }
+        }
+    }
+
+    /** Calls off up to [count] jobs that run, and returns the machines that hold them. */
+    fun cancelRunning(count: Int): Set<SimWorker> {
+        val running = fleet.cloud.workers.flatMap { worker ->
+            worker.onMachine().map { it.attempt.task.job.value to worker }
+        }
+        val calledOff = running.map { it.first }.distinct().shuffled(world.random).take(count)
+        for (id in calledOff) world.after(world.between(0, SPREAD_MS)) { users.cancel(JobId(id)) }
+        return running.filter { it.first in calledOff }.mapTo(LinkedHashSet()) { it.second }
+    }
+
+    private companion object {
+        const val KINDS = 4
+        const val LONG_RUN_S = 12.0
+        const val SHORT_RUN_S = 2.0
+        const val CANCELLED = 0.2
+        const val SPREAD_MS = 500L
+        val JOB_EVERY_MS = 300L..900L
+        val TASKS = 1L..6L
+        val CANCEL_AFTER_MS = 200L..10_000L
+    }
+}
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
@@ -0,0 +1,185 @@
+package oxbowlug.soak
+
+import io.vertx.core.Future
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.delay
+import oxbowlug.config.WriteLimits
+import oxbowlug.core.Invariant
+import oxbowlug.core.JobRecord
+import oxbowlug.core.Keys
+import oxbowlug.core.RecordLayout
+import oxbowlug.scale.CloudServer
+import oxbowlug.scale.ControllerFiles
+import oxbowlug.scale.ControllerProcess
+import oxbowlug.scale.FleetPlan
+import oxbowlug.scale.HollowFleet
+import oxbowlug.scale.Network
+import oxbowlug.scale.PeerProxies
+import oxbowlug.scale.RealTime
+import oxbowlug.scale.ReportConnections
+import oxbowlug.scale.ScaleOptions
+import oxbowlug.scale.StartFailed
+import oxbowlug.scale.StateFaults
+import oxbowlug.scale.StateServer
+import oxbowlug.scale.Topology
+import oxbowlug.scale.Traffic
+import oxbowlug.scale.Users
+import oxbowlug.scale.WorkerServer
+import oxbowlug.standin.SimStore
+import oxbowlug.standin.World
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.InvalidField
+import java.io.File
+import java.util.concurrent.TimeUnit
+
+/** What came of one seed. */
+sealed interface SoakVerdict {
+    /** Nothing was broken, by [starts] starts of tasks. */
+    data class Passed(val starts: Int, val stoodStillMs: Long) : SoakVerdict
+
+    data class Failed(val problems: List<String>, val stoodStillMs: Long) : SoakVerdict
+
+    /** The stand-ins stood still for so long that times can't be judged: neither passed nor failed. */
+    data class Invalid(val stoodStillMs: Long, val problems: List<String>) : SoakVerdict
+}
+
+/**
+ * One seed: real controllers as processes of their own, stand-ins and users on one event loop of this one, troubles
+ * drawn from the seed. Judged by the stand-ins' own record. All that it starts ends with [close].
+ */
+class SoakRun(private val options: ScaleOptions, groups: Int, classPath: String? = null) : AutoCloseable {
+    val vertx: Vertx = Vertx.vertx(
+        VertxOptions().setEventLoopPoolSize(1).setBlockedThreadCheckInterval(1)
+            .setBlockedThreadCheckIntervalUnit(TimeUnit.HOURS),
+    )
+    private val world = World(options.seed)
+    private val topology = Topology(options)
+    private val network = Network(world, topology)
+    private val traffic = Traffic()
+    private val store = SimStore(world).apply {
+        limits = WriteLimits(options.writeRps, FleetPlan.VALUE_KB, FleetPlan.TXN_OPS)
+    }
+    private val stateFaults = StateFaults()
+    private val plan = FleetPlan(options, topology)
+    private val fleet = HollowFleet(
+        options, topology, world, plan, ReportConnections(vertx, network, traffic, topology.ports.workers), ::isStored,
+    )
+    private val users = Users(vertx, world, topology, network, fleet.rules)
+    private val controllers: List<ControllerProcess> =
+        ControllerFiles(options, topology, plan, classPath).processes()
+    private val clock = RealTime(vertx, world).also { network.beforeDelivery = it::follow }
+    private val load = SoakLoad(world, plan, fleet, users)
+    private val faults =
+        RealFaults(world, topology.zones, network, store, stateFaults, fleet, load, controllers)
+    val schedule = FaultSchedule.draw(options.seed, groups, FAULTS_FROM_MS, FAULTS_TO_MS, leaseMs)
+
+    private val leaseMs: Long get() = (options.leaseS * MS).toLong()
+
+    private fun isStored(attempt: Attempt): Boolean {
+        val id = attempt.task.job.value
+        val head = store.entry(Keys.job(id))?.value ?: return false
+        return try {
+            val whole = RecordLayout.merge(head) { store.entry(Keys.part(id, it))?.value }
+            JobRecord.decode(whole).placements[attempt.task.index]?.attempt == attempt.number
+        } catch (_: InvalidField) {
+            false
+        }
+    }
+
+    /** Runs on the event loop, which owns all state of the stand-ins. */
+    suspend fun play(): SoakVerdict {
+        listen()
+        fleet.boot()
+        controllers.forEach { it.start() }
+        users.start()
+        awaitHealthy()
+        // Starting so many processes takes all of the machine; nothing is judged by then.
+        clock.latestMs = 0
+        world.every(CHECK_MS) {
+            fleet.rules.check(fleet.cloud.workers)
+            controllers.forEach { it.keepUp() }
+        }
+        world.every(SECOND_MS) { fleet.rules.checkStored(fleet.cloud.workers) }
+        val beganAt = world.nowMs
+        faults.play(schedule)
+        load.begin(untilMs = beganAt + FAULTS_TO_MS + leaseMs)
+        awaitUntil(beganAt + maxOf(schedule.endMs, FAULTS_TO_MS) + leaseMs)
+        val calmAt = world.nowMs
+        while (world.nowMs < calmAt + CALM_MS && unfinished(calmAt).isNotEmpty()) delay(LOOK_MS)
+        return verdict(calmAt, clock.latestMs)
+    }
+
+    private suspend fun listen() {
+        val state = StateServer(world, store, network, traffic, options.stateRps, stateFaults)
+        val servers = state.start(vertx, topology) +
+            CloudServer(world, fleet.cloud, network, traffic, options.cloudRps).start(vertx, topology) +
+            PeerProxies(vertx, network, traffic).start(topology) +
+            WorkerServer(network, traffic, topology, fleet.cloud::at).start(vertx)
+        Future.all<Any>(servers).coAwait()
+    }
+
+    private suspend fun awaitHealthy() {
+        while (users.healthyCount < controllers.size) {
+            if (world.nowMs > START_MS) throw StartFailed("controllers don't serve:\n${controllers[0].lastLines()}")
+            delay(LOOK_MS)
+        }
+    }
+
+    private suspend fun awaitUntil(ms: Long) {
+        while (world.nowMs < ms) delay(LOOK_MS)
+    }
+
+    /** What isn't served, or was not answered for since all troubles ended. */
+    private fun unfinished(calmAt: Long): List<String> {
+        val unserved = fleet.rules.unfinished().map { "not served: $it" }
+        val unheard = fleet.rules.jobs.filterValues { it.accepted && it.finalSince == null && it.answeredAt < calmAt }
+        return unserved + unheard.keys.map { "not answered since: $it" }
+    }
+
+    private fun verdict(calmAt: Long, stoodStillMs: Long): SoakVerdict {
+        val rules = fleet.rules
+        val problems = rules.broken + violations() + unfinished(calmAt) + endedByThemselves()
+        return when {
+            stoodStillMs > leaseMs / STALL_PART -> SoakVerdict.Invalid(stoodStillMs, problems)
+            problems.isNotEmpty() -> SoakVerdict.Failed(problems, stoodStillMs)
+            rules.starts == 0 -> SoakVerdict.Failed(listOf("nothing_ran"), stoodStillMs)
+            else -> SoakVerdict.Passed(rules.starts, stoodStillMs)
+        }
+    }
+
+    /** What the controllers themselves found: an error line for each. */
+    private fun violations(): List<String> = logs().flatMap { log ->
+        log.readLines().filter { line -> Invariant.entries.any { "invariant ${it.label}" in line } }
+            .map { "${log.name}: $it" }
+    }
+
+    private fun logs(): List<File> = options.output.listFiles { file -> file.extension == "log" }.orEmpty().toList()
+
+    private fun endedByThemselves(): List<String> =
+        controllers.filter { it.endedByItself > 0 }.map { "${it.place.label} ended by itself" }
+
+    override fun close() {
+        clock.stop()
+        controllers.forEach {
+            it.resume()
+            it.kill()
+        }
+        vertx.close()
+    }
+
+    private companion object {
+        const val MS = 1000.0
+        const val SECOND_MS = 1_000L
+        const val CHECK_MS = 100L
+        const val LOOK_MS = 100L
+        const val START_MS = 60_000L
+        const val FAULTS_FROM_MS = 3_000L
+        const val FAULTS_TO_MS = 18_000L
+        const val CALM_MS = 45_000L
+
+        /** Standing still for a quarter of a lease or longer, the stand-ins themselves would break the rules. */
+        const val STALL_PART = 4
+    }
+}
--- a/src/test/kotlin/oxbowlug/scale/NetworkTest.kt
+++ b/src/test/kotlin/oxbowlug/scale/NetworkTest.kt
@@ -13,9 +13,11 @@
     private val topology = Topology(options)
     private val network = Network(world, topology)
 
+    private fun end(zone: Zone?): Endpoint = if (zone == null) Endpoint.StateService else Endpoint.Worker(zone)
+
     private fun arrivals(from: Zone?, to: Zone?): Long {
         var at = -1L
-        network.deliver(from, to) { at = world.nowMs }
+        network.deliver(end(from), end(to)) { at = world.nowMs }
         world.advanceTo(world.nowMs + 60_000)
         return at
     }
@@ -39,11 +41,11 @@
         network.cutZone(second, forMs = 5_000)
         val order = ArrayList<Pair<Int, Long>>()
         for (number in 1..3) {
-            world.after(number * 100L) { network.deliver(first, second) { order.add(number to world.nowMs) } }
+            world.after(number * 100L) { network.deliver(end(first), end(second)) { order.add(number to world.nowMs) } }
         }
         world.advanceTo(4_999)
         assertEquals(emptyList<Int>(), order.map { it.first })
-        world.after(2) { network.deliver(first, second) { order.add(4 to world.nowMs) } }
+        world.after(2) { network.deliver(end(first), end(second)) { order.add(4 to world.nowMs) } }
         world.advanceTo(6_000)
         assertEquals(listOf(1, 2, 3, 4), order.map { it.first })
         assertTrue(order.all { it.second >= 5_000 })
@@ -54,12 +56,21 @@
     fun `regions apart still reach what is in their own`() {
         val (home, away) = topology.zones
         network.cutRegions(0, 1, forMs = 60_000)
-        assertTrue(network.isCut(home, away))
-        assertTrue(network.isCut(away, null), "the regional services are in the first region")
-        assertTrue(!network.isCut(home, null))
-        assertTrue(!network.isCut(away, topology.zones[3]))
+        assertTrue(network.isCut(end(home), end(away)))
+        assertTrue(network.isCut(end(away), end(null)), "the regional services are in the first region")
+        assertTrue(!network.isCut(end(home), end(null)))
+        assertTrue(!network.isCut(end(away), end(topology.zones[3])))
         world.advanceTo(60_001)
-        assertTrue(!network.isCut(home, away))
+        assertTrue(!network.isCut(end(home), end(away)))
+    }
+
+    @Test
+    fun `a link is cut in one direction alone`() {
+        val leader = Endpoint.Controller(topology.controllers[0])
+        network.cutLinks(forMs = 1_000) { from, to -> from == leader && to == Endpoint.StateService }
+        assertTrue(network.isCut(leader, Endpoint.StateService))
+        assertTrue(!network.isCut(Endpoint.StateService, leader))
+        assertTrue(!network.isCut(Endpoint.Controller(topology.controllers[1]), Endpoint.StateService))
     }
 
     @Test
