A worker deaf for a lease and then mute is a drawn trouble; whose word ended a cancellation is logged

Change: DEAF_THEN_MUTE_WORKERS in both players of FaultSchedule; Cancellations logs by whom, and at which revision.

--- a/src/main/kotlin/oxbowlug/core/Cancellations.kt
+++ b/src/main/kotlin/oxbowlug/core/Cancellations.kt
@@ -75,6 +75,13 @@
 
         /** Somebody entitled has proven it. */
         var hasEnded = false
+            private set
+
+        /** From here on nobody tells of it, looks for it or gives machines back for it, so the log says by whose word. */
+        fun ended(by: Member) {
+            if (!hasEnded) log.info("{} at {} has ended, by {}", cancellation.id, cancellation.version, by.label)
+            hasEnded = true
+        }
     }
 
     private val pendingById = LinkedHashMap<JobId, PendingCancellation>()
@@ -142,7 +149,7 @@
         if (pendingById.isEmpty() || now < nextTellAt) return
         nextTellAt = now + timing.peerHeartbeatMs
         for (pending in pendingById.values) {
-            if (hasEndedHere(pending.cancellation.id) == true) pending.hasEnded = true
+            if (hasEndedHere(pending.cancellation.id) == true) pending.ended(by = self)
             if (!pending.hasEnded) tell(pending, now)
         }
     }
@@ -169,7 +176,7 @@
             is CancellationNotice.Acknowledged -> for (item in word.items) {
                 val pending = pendingById[item.id] ?: continue
                 pending.acknowledged.add(word.sender)
-                if (item.hasEnded && word.sender == replica.view?.leader) pending.hasEnded = true
+                if (item.hasEnded && word.sender == replica.view?.leader) pending.ended(by = word.sender)
             }
         }
     }
--- a/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
@@ -72,7 +72,7 @@
     private val clock = RealTime(vertx, world).also { network.beforeDelivery = it::follow }
     private val load = SoakLoad(world, plan, fleet, users)
     private val faults =
-        RealFaults(world, topology.zones, network, store, stateFaults, fleet, load, controllers)
+        RealFaults(world, topology.zones, network, store, stateFaults, fleet, load, controllers, leaseMs)
     val schedule = FaultSchedule.draw(options.seed, groups, FAULTS_FROM_MS, FAULTS_TO_MS, leaseMs)
 
     private val leaseMs: Long get() = (options.leaseS * MS).toLong()
--- a/src/test/kotlin/oxbowlug/sim/RandomFaultsTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/RandomFaultsTest.kt
@@ -22,7 +22,7 @@
         day.users(everyMs = 2_500, untilMs = CALM_MS)
         day.pipelines(everyMs = 8_000, untilMs = CALM_MS)
         val schedule = FaultSchedule.draw(seed, GROUPS, FROM_MS, TO_MS, shape.leaseMs)
-        SimulatedFaults(day).play(schedule)
+        SimulatedFaults(day, shape.leaseMs).play(schedule)
         day.run(END_MS)
         val broken = day.rules.broken.take(SHOWN)
         return if (broken.isEmpty()) null else "seed $seed: $broken\n$schedule"
