--- a/src/main/kotlin/oxbowlug/core/Cancellations.kt
+++ b/src/main/kotlin/oxbowlug/core/Cancellations.kt
@@ -77,7 +77,7 @@
         var hasEnded = false
             private set
 
-        /** From here on nobody tells of it, looks for it or gives machines back for it, so the log says by whose word. */
+        /** From here on nobody looks for it or gives machines back for it, so the log says by whose word. */
         fun ended(by: Member) {
             if (!hasEnded) log.info("{} at {} has ended, by {}", cancellation.id, cancellation.version, by.label)
             hasEnded = true
--- a/src/scale/kotlin/oxbowlug/soak/Fault.kt
+++ b/src/scale/kotlin/oxbowlug/soak/Fault.kt
@@ -37,8 +37,8 @@
     MUTE_WORKERS,
     HANG_WORKERS,
 
-    /** Answers and commands don't reach them until their leases are over, and then their reports get nowhere. */
-    DEAF_THEN_MUTE_WORKERS,
+    /** No answers reach them until their leases are over, and then their reports get nowhere. */
+    UNANSWERED_THEN_MUTE_WORKERS,
 
     /** Users call off jobs that run. */
     CANCEL_RUNNING,
--- a/src/scale/kotlin/oxbowlug/soak/LostBothWays.kt
+++ b/src/scale/kotlin/oxbowlug/soak/LostAnswers.kt
@@ -4,14 +4,14 @@
 import oxbowlug.standin.World
 
 /**
- * A link that loses what a worker is sent, for about a lease, and then what it sends. Its session ends while its
- * leader goes on hearing it, and the next one begins unheard (docs/incidents/broke-at-size-2.md).
+ * A worker that gets no answers to its reports for about a lease, and whose reports are then lost, while direct
+ * commands reach it throughout. Its session ends as its leader goes on hearing it, and the next one begins unheard
+ * (docs/incidents/broke-at-size-2.md).
  */
-class LostBothWays(private val world: World, private val leaseMs: Long) {
+class LostAnswers(private val world: World, private val leaseMs: Long) {
     fun begin(worker: SimWorker) {
         val overAt = worker.leaseFrom + leaseMs
-        val deafUntil = overAt + world.between(0, leaseMs / PART)
-        worker.deafUntil = deafUntil
+        worker.unansweredUntil = overAt
         world.after(overAt - world.between(0, leaseMs / PART) - world.nowMs) {
             worker.muteUntil = overAt + leaseMs - world.between(0, leaseMs / PART)
         }
--- a/src/scale/kotlin/oxbowlug/soak/RealFaults.kt
+++ b/src/scale/kotlin/oxbowlug/soak/RealFaults.kt
@@ -81,7 +81,7 @@
             FaultKind.DEAF_WORKERS -> some(fault).forEach { it.deafUntil = world.nowMs + fault.forMs }
             FaultKind.MUTE_WORKERS -> some(fault).forEach { it.muteUntil = world.nowMs + fault.forMs }
             FaultKind.HANG_WORKERS -> some(fault).forEach { it.hungUntil = world.nowMs + fault.forMs }
-            FaultKind.DEAF_THEN_MUTE_WORKERS -> some(fault).forEach { LostBothWays(world, leaseMs).begin(it) }
+            FaultKind.UNANSWERED_THEN_MUTE_WORKERS -> some(fault).forEach { LostAnswers(world, leaseMs).begin(it) }
             FaultKind.CANCEL_RUNNING -> load.cancelRunning(1 + fault.target % MOST_JOBS)
             FaultKind.CANCEL_RUNNING_AND_HANG ->
                 load.cancelRunning(1 + fault.target % MOST_JOBS).forEach { it.hungUntil = world.nowMs + fault.forMs }
--- a/src/scale/kotlin/oxbowlug/standin/SimWorker.kt
+++ b/src/scale/kotlin/oxbowlug/standin/SimWorker.kt
@@ -119,6 +119,9 @@
 
     /** Its reports arrive, but answers and commands don't reach it. */
     var deafUntil = 0L
+
+    /** Its reports arrive, but their answers don't reach it, while direct commands do. */
+    var unansweredUntil = 0L
     var noticeS: Double? = null
     val isHung: Boolean get() = world.nowMs < hungUntil
 
@@ -225,7 +228,7 @@
 
     private fun take(answer: ReportAnswer?, message: WorkerReport, sentAt: Long) {
         inFlight = false
-        if (world.nowMs < deafUntil) return tryNextNode()
+        if (world.nowMs < deafUntil || world.nowMs < unansweredUntil) return tryNextNode()
         when (answer) {
             is ReportAnswer.Taken -> {
                 if (world.nowMs > leaseFrom + leaseMs) expire()
--- a/src/test/kotlin/oxbowlug/sim/SimulatedFaults.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimulatedFaults.kt
@@ -3,7 +3,7 @@
 import oxbowlug.soak.Fault
 import oxbowlug.soak.FaultKind
 import oxbowlug.soak.FaultSchedule
-import oxbowlug.soak.LostBothWays
+import oxbowlug.soak.LostAnswers
 import oxbowlug.standin.SimWorker
 
 /** Plays a drawn schedule of faults on virtual time. */
@@ -52,7 +52,7 @@
             FaultKind.DEAF_WORKERS -> some(fault).forEach { it.deafUntil = world.nowMs + fault.forMs }
             FaultKind.MUTE_WORKERS -> some(fault).forEach { it.muteUntil = world.nowMs + fault.forMs }
             FaultKind.HANG_WORKERS -> some(fault).forEach { it.hungUntil = world.nowMs + fault.forMs }
-            FaultKind.DEAF_THEN_MUTE_WORKERS -> some(fault).forEach { LostBothWays(world, leaseMs).begin(it) }
+            FaultKind.UNANSWERED_THEN_MUTE_WORKERS -> some(fault).forEach { LostAnswers(world, leaseMs).begin(it) }
             FaultKind.CANCEL_RUNNING -> cancelRunning(fault)
             FaultKind.CANCEL_RUNNING_AND_HANG -> cancelRunning(fault).forEach {
                 it.hungUntil = world.nowMs + fault.forMs
