--- a/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
@@ -7,9 +7,6 @@
 import kotlinx.coroutines.delay
 import oxbowlug.config.WriteLimits
 import oxbowlug.core.Invariant
-import oxbowlug.core.JobRecord
-import oxbowlug.core.Keys
-import oxbowlug.core.RecordLayout
 import oxbowlug.scale.CloudServer
 import oxbowlug.scale.ControllerFiles
 import oxbowlug.scale.ControllerProcess
@@ -29,8 +26,7 @@
 import oxbowlug.scale.WorkerServer
 import oxbowlug.standin.SimStore
 import oxbowlug.standin.World
-import oxbowlug.wire.Attempt
-import oxbowlug.wire.InvalidField
+import oxbowlug.standin.names
 import java.io.File
 import java.util.concurrent.TimeUnit
 
@@ -64,7 +60,8 @@
     private val stateFaults = StateFaults()
     private val plan = FleetPlan(options, topology)
     private val fleet = HollowFleet(
-        options, topology, world, plan, ReportConnections(vertx, network, traffic, topology.ports.workers), ::isStored,
+        options, topology, world, plan, ReportConnections(vertx, network, traffic, topology.ports.workers),
+        store::names,
     )
     private val users = Users(vertx, world, topology, network, fleet.rules)
     private val controllers: List<ControllerProcess> =
@@ -77,17 +74,6 @@
 
     private val leaseMs: Long get() = (options.leaseS * MS).toLong()
 
-    private fun isStored(attempt: Attempt): Boolean {
-        val id = attempt.task.job.value
-        val head = store.entry(Keys.job(id))?.value ?: return false
-        return try {
-            val whole = RecordLayout.merge(head) { store.entry(Keys.part(id, it))?.value }
-            JobRecord.decode(whole).placements[attempt.task.index]?.attempt == attempt.number
-        } catch (_: InvalidField) {
-            false
-        }
-    }
-
     /** Runs on the event loop, which owns all state of the stand-ins. */
     suspend fun play(): SoakVerdict {
         listen()
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/standin/StoredPlacements.kt
@@ -0,0 +1,19 @@
+package oxbowlug.standin
+
+import oxbowlug.core.JobRecord
+import oxbowlug.core.Keys
+import oxbowlug.core.RecordLayout
+import oxbowlug.wire.Attempt
+import oxbowlug.wire.InvalidField
+
+/** Whether the stored record of its job names the attempt: only then does whoever leads next know of it. */
+fun SimStore.names(attempt: Attempt): Boolean {
+    val id = attempt.task.job.value
+    val head = entry(Keys.job(id))?.value ?: return false
+    return try {
+        val whole = RecordLayout.merge(head) { entry(Keys.part(id, it))?.value }
+        JobRecord.decode(whole).placements[attempt.task.index]?.attempt == attempt.number
+    } catch (_: InvalidField) {
+        false
+    }
+}
--- a/src/test/kotlin/oxbowlug/sim/Simulation.kt
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -11,9 +11,7 @@
 import oxbowlug.config.WorkerSettings
 import oxbowlug.config.WriteLimits
 import oxbowlug.core.Command
-import oxbowlug.core.JobRecord
 import oxbowlug.core.Keys
-import oxbowlug.core.RecordLayout
 import oxbowlug.core.UserAnswer
 import oxbowlug.standin.JobBook
 import oxbowlug.standin.ReportPacing
@@ -22,10 +20,10 @@
 import oxbowlug.standin.SimStore
 import oxbowlug.standin.SimWorker
 import oxbowlug.standin.World
+import oxbowlug.standin.names
 import oxbowlug.wire.Attempt
 import oxbowlug.wire.ClassName
 import oxbowlug.wire.ImageName
-import oxbowlug.wire.InvalidField
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobKind
 import oxbowlug.wire.JobSpec
@@ -83,7 +81,7 @@
 
     /** Machines are up after this long instead of their types' time. */
     var bootMs: Long? by cloud::bootMs
-    val rules = Rules(world, shape.teamLimits, CANCEL_MS, ::isStored)
+    val rules = Rules(world, shape.teamLimits, CANCEL_MS, store::names)
     val serving = Serving(world, rules, { cloud.workers }, shape.teamLimits, shape.calmFromMs)
     val nodes: List<SimNode> = List(shape.nodes) { index ->
         SimNode(world, settings(index), store, cloud, weather, ::byEndpoint, ::peers)
@@ -111,17 +109,6 @@
         }
     }
 
-    private fun isStored(attempt: Attempt): Boolean {
-        val id = attempt.task.job.value
-        val head = store.entry(Keys.job(id))?.value ?: return false
-        return try {
-            val whole = RecordLayout.merge(head) { store.entry(Keys.part(id, it))?.value }
-            JobRecord.decode(whole).placements[attempt.task.index]?.attempt == attempt.number
-        } catch (_: InvalidField) {
-            false
-        }
-    }
-
     private fun peers() = nodes
 
     private fun byEndpoint(address: Address) = cloud.at(address.toString())
