--- a/src/scale/kotlin/oxbowlug/scale/ScaleOptions.kt
+++ b/src/scale/kotlin/oxbowlug/scale/ScaleOptions.kt
@@ -95,7 +95,13 @@
         if (given.nonOptionArguments().isNotEmpty()) {
             throw InvalidOption("${given.nonOptionArguments().first()}: is not an option")
         }
-        return checked(read(given))
+        val options = try {
+            read(given)
+        } catch (e: OptionException) {
+            // Values are converted only when they are asked for.
+            throw InvalidOption(e.message.orEmpty())
+        }
+        return checked(options)
     }
 
     private fun read(given: OptionSet): ScaleOptions {
--- a/src/scale/kotlin/oxbowlug/soak/Main.kt
+++ b/src/scale/kotlin/oxbowlug/soak/Main.kt
@@ -39,10 +39,13 @@
         val slots = AtomicInteger()
         val slot = ThreadLocal.withInitial { slots.getAndIncrement() }
         val pool = Executors.newFixedThreadPool(options.atOnce)
-        val results = (options.firstSeed until options.firstSeed + options.seeds)
-            .map { seed -> pool.submit<SoakVerdict> { playAndReport(seed, slot.get()) } }
-            .map { it.get() }
-        pool.shutdown()
+        val results = try {
+            (options.firstSeed until options.firstSeed + options.seeds)
+                .map { seed -> pool.submit<SoakVerdict> { playAndReport(seed, slot.get()) } }
+                .map { it.get() }
+        } finally {
+            pool.shutdownNow()
+        }
         Runtime.getRuntime().removeShutdownHook(hook)
         val passed = results.count { it is SoakVerdict.Passed }
         val failed = results.count { it is SoakVerdict.Failed }
--- a/src/scale/kotlin/oxbowlug/soak/SoakOptions.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakOptions.kt
@@ -2,6 +2,7 @@
 
 import joptsimple.OptionException
 import joptsimple.OptionParser
+import joptsimple.OptionSet
 import oxbowlug.scale.InvalidOption
 import oxbowlug.scale.ScaleOptionParser
 import oxbowlug.scale.ScaleOptions
@@ -73,12 +74,18 @@
             return null
         }
         given.nonOptionArguments().firstOrNull()?.let { throw InvalidOption("$it: is not an option") }
-        val options = SoakOptions(
+        return read(given).also(::check)
+    }
+
+    private fun read(given: OptionSet): SoakOptions = try {
+        SoakOptions(
             given.valueOf(first).toLong(), given.valueOf(seeds), given.valueOf(atOnce), given.valueOf(workers),
             given.valueOf(controllers), given.valueOf(groups), given.valueOf(firstPort), File(given.valueOf(output)),
             File(given.valueOf(deploy)),
         )
-        return options.also(::check)
+    } catch (e: OptionException) {
+        // Values are converted only when they are asked for.
+        throw InvalidOption(e.message.orEmpty())
     }
 
     private fun check(options: SoakOptions) = with(options) {
--- a/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
@@ -152,7 +152,8 @@
             it.resume()
             it.kill()
         }
-        vertx.close()
+        // Not waited for, its ports were still taken when the next seed wanted them, and a soak of fifty broke off.
+        vertx.close().toCompletionStage().toCompletableFuture().get(CLOSE_S, TimeUnit.SECONDS)
     }
 
     private companion object {
@@ -161,6 +162,7 @@
         const val CHECK_MS = 100L
         const val LOOK_MS = 100L
         const val START_MS = 60_000L
+        const val CLOSE_S = 20L
         const val FAULTS_FROM_MS = 3_000L
         const val FAULTS_TO_MS = 18_000L
         const val CALM_MS = 45_000L
