The scale run and the soak stand on one class, and read their arguments by one

Need: found on rereading the change. SoakRun built the same stand-ins, servers and shutdown as ScaleRun, and waited a minute for a controller that had ended, where the scale run says so at once. Both parsers repeated their reading and refusing, and mended it twice. The two players of faults drew the jobs to call off alike. Leader.onReport returned the stops of cancelled work that LeaseRenewals adds to every answer, so they were looked for twice a report.

Change: LoopbackRun, ArgumentParser and drawRunning serve both; the leader leaves those stops to LeaseRenewals. What is played, refused and answered stays as it was, but that the scale run, too, waits for its servers to close, and a soak says at once that a controller ended while it started.

--- a/src/main/kotlin/oxbowlug/core/Leader.kt
+++ b/src/main/kotlin/oxbowlug/core/Leader.kt
@@ -95,17 +95,20 @@
         return expected && now - last > timing.workersLostMs
     }
 
-    /** The commands for a report under our lead. Null: the machine or its session is gone, and nothing may renew it. */
+    /**
+     * The commands for a report under our lead, to which [LeaseRenewals] adds the stops of cancelled work. Null: the
+     * machine or its session is gone, and nothing may renew it.
+     */
     fun onReport(report: WorkerReport): List<WorkerCommand>? {
         val host = fleet.hear(report, hello = true) ?: return null
         lastReportAt = clock.steadyMs()
         // A copy that came late, or our proof was wrong: renewed, the session would live on with all that was given up
         // in it and that nobody stops there.
         if (host.lease.hasEnded(report.session)) return null
-        if (!basis.mayDecide) return replica.cancelledWork(report)
+        if (!basis.mayDecide) return emptyList()
         val stamp = Stamp(report.session, report.sequence)
         // The answer to a copy goes nowhere; it must not look as if the worker had been told.
-        if (stamp < host.lastHello) return replica.cancelledWork(report)
+        if (stamp < host.lastHello) return emptyList()
         val commands = storedOnly(host, fleet.commands(host, clock.steadyMs()))
         if (stamp == host.stamp) requireStops(report, commands)
         for (command in commands) {
--- /dev/null
+++ b/src/scale/kotlin/oxbowlug/scale/ArgumentParser.kt
@@ -0,0 +1,48 @@
+package oxbowlug.scale
+
+import joptsimple.OptionException
+import joptsimple.OptionParser
+import joptsimple.OptionSet
+import joptsimple.OptionSpec
+
+/** An argument that can't work; the message begins with its name. */
+class InvalidOption(message: String) : Exception(message)
+
+/** Reads and checks the arguments of a run; [introduction] stands before the list of options. */
+abstract class ArgumentParser<T>(private val introduction: String) {
+    protected val parser = OptionParser()
+    private val help = parser.accepts("help", "show this help and end").forHelp()
+
+    protected fun whole(name: String, what: String, default: Int): OptionSpec<Int> =
+        parser.accepts(name, what).withRequiredArg().ofType(Int::class.javaObjectType).defaultsTo(default)
+
+    protected fun amount(name: String, what: String, default: Double): OptionSpec<Double> =
+        parser.accepts(name, what).withRequiredArg().ofType(Double::class.javaObjectType).defaultsTo(default)
+
+    /** Null when only the help was asked for, which is then printed. Throws [InvalidOption]. */
+    fun parse(arguments: List<String>): T? {
+        val given = refusing { parser.parse(*arguments.toTypedArray()) }
+        if (given.has(help)) {
+            println("$introduction\n")
+            parser.printHelpOn(System.out)
+            return null
+        }
+        given.nonOptionArguments().firstOrNull()?.let { throw InvalidOption("$it: is not an option") }
+        // Values are converted only when they are asked for.
+        return refusing { read(given) }.also(::check)
+    }
+
+    protected abstract fun read(given: OptionSet): T
+
+    protected abstract fun check(options: T)
+
+    protected fun require(option: String, isValid: Boolean, problem: String) {
+        if (!isValid) throw InvalidOption("$option: $problem")
+    }
+
+    private fun <R> refusing(action: () -> R): R = try {
+        action()
+    } catch (e: OptionException) {
+        throw InvalidOption(e.message.orEmpty())
+    }
+}
--- a/src/scale/kotlin/oxbowlug/scale/ScaleOptions.kt
+++ b/src/scale/kotlin/oxbowlug/scale/ScaleOptions.kt
@@ -1,15 +1,9 @@
 package oxbowlug.scale
 
-import joptsimple.OptionException
-import joptsimple.OptionParser
 import joptsimple.OptionSet
-import joptsimple.OptionSpec
 import java.io.File
 import java.util.Locale
 
-/** An argument that can't work; the message begins with its name. */
-class InvalidOption(message: String) : Exception(message)
-
 /** What a run plays, from its arguments. Rates are those of the whole fleet. */
 data class ScaleOptions(
     val workers: Int,
@@ -42,8 +36,10 @@
 }
 
 /** Reads and checks the arguments of a scale run. */
-class ScaleOptionParser {
-    private val parser = OptionParser()
+class ScaleOptionParser :
+    ArgumentParser<ScaleOptions>(
+        "Plays a fleet on loopback: real controllers, hollow workers, a state service and a cloud.",
+    ) {
     private val workers = whole("workers", "hollow workers", 40)
     private val tasksPerWorker = amount("tasks-per-worker", "tasks running on each worker at ordinary load", 12.3)
     private val tasksPerJob = whole("tasks-per-job", "replicas of a service at ordinary load", 40)
@@ -72,39 +68,8 @@
     private val deploy = parser.accepts("deploy", "file whose run command starts the controllers")
         .withRequiredArg().defaultsTo("deploy/service.toml")
     private val regional = parser.accepts("regional-delegates", "tell the controllers which zones form a region")
-    private val help = parser.accepts("help", "show this help and end").forHelp()
-
-    private fun whole(name: String, what: String, default: Int): OptionSpec<Int> =
-        parser.accepts(name, what).withRequiredArg().ofType(Int::class.javaObjectType).defaultsTo(default)
-
-    private fun amount(name: String, what: String, default: Double): OptionSpec<Double> =
-        parser.accepts(name, what).withRequiredArg().ofType(Double::class.javaObjectType).defaultsTo(default)
 
-    /** Null when only the help was asked for, which is then printed. */
-    fun parse(arguments: List<String>): ScaleOptions? {
-        val given = try {
-            parser.parse(*arguments.toTypedArray())
-        } catch (e: OptionException) {
-            throw InvalidOption(e.message.orEmpty())
-        }
-        if (given.has(help)) {
-            println("Plays a fleet on loopback: real controllers, hollow workers, a state service and a cloud.\n")
-            parser.printHelpOn(System.out)
-            return null
-        }
-        if (given.nonOptionArguments().isNotEmpty()) {
-            throw InvalidOption("${given.nonOptionArguments().first()}: is not an option")
-        }
-        val options = try {
-            read(given)
-        } catch (e: OptionException) {
-            // Values are converted only when they are asked for.
-            throw InvalidOption(e.message.orEmpty())
-        }
-        return checked(options)
-    }
-
-    private fun read(given: OptionSet): ScaleOptions {
+    override fun read(given: OptionSet): ScaleOptions {
         val count = given.valueOf(workers)
         val share = count / FULL_SIZE
         return ScaleOptions(
@@ -136,7 +101,7 @@
         )
     }
 
-    private fun checked(options: ScaleOptions): ScaleOptions {
+    override fun check(options: ScaleOptions) {
         with(options) {
             require("workers", workers in 1..MAX_WORKERS, "must be 1 to $MAX_WORKERS")
             require("controllers", controllers in 1..MAX_CONTROLLERS, "must be 1 to $MAX_CONTROLLERS")
@@ -158,7 +123,6 @@
             val connections = workers * SOCKETS_PER_WORKER
             require("workers", connections < files, "need $connections open files, and $files are allowed (ulimit -n)")
         }
-        return options
     }
 
     private fun ScaleOptions.rates() = listOf(
@@ -166,10 +130,6 @@
         "write-rps" to writeRps, "cloud-rps" to cloudRps,
     )
 
-    private fun require(option: String, isValid: Boolean, problem: String) {
-        if (!isValid) throw InvalidOption("$option: $problem")
-    }
-
     /** What the kernel allows this process and those that it starts. */
     private fun openFileLimit(): Long = File("/proc/self/limits").takeIf { it.canRead() }
         ?.readLines()?.firstOrNull { it.startsWith("Max open files") }
--- a/src/scale/kotlin/oxbowlug/scale/ScaleRun.kt
+++ b/src/scale/kotlin/oxbowlug/scale/ScaleRun.kt
@@ -1,16 +1,10 @@
 package oxbowlug.scale
 
-import io.vertx.core.Future
 import io.vertx.core.Vertx
-import io.vertx.core.VertxOptions
-import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.delay
-import oxbowlug.config.WriteLimits
 import oxbowlug.core.Keys
 import oxbowlug.core.View
-import oxbowlug.standin.SimStore
 import oxbowlug.standin.World
-import java.util.concurrent.TimeUnit
 
 /** The stand-ins' time follows the real one; how far it fell behind says whether the stand-ins kept up. */
 class RealTime(vertx: Vertx, private val world: World) {
@@ -53,32 +47,11 @@
     }
 }
 
-/**
- * One run: the stand-ins and users on one event loop of this process, the controllers as processes of their own.
- * Everything that it starts ends with [close], which may be called from any thread.
- */
-class ScaleRun(val options: ScaleOptions, private val say: (String) -> Unit) : AutoCloseable {
-    val vertx: Vertx = Vertx.vertx(
-        VertxOptions().setEventLoopPoolSize(1).setBlockedThreadCheckInterval(1)
-            .setBlockedThreadCheckIntervalUnit(TimeUnit.HOURS),
-    )
-    val world = World(options.seed)
-    private val topology = Topology(options)
-    private val network = Network(world, topology)
-    val traffic = Traffic()
-    val store = SimStore(world).apply {
-        limits = WriteLimits(options.writeRps, FleetPlan.VALUE_KB, FleetPlan.TXN_OPS)
-    }
-    private val plan = FleetPlan(options, topology)
-    val fleet = HollowFleet(
-        options, topology, world, plan, ReportConnections(vertx, network, traffic, topology.ports.workers),
-    )
-    val users = Users(vertx, world, topology, network, fleet.rules)
+/** Plays its scenarios one after the other on the same fleet, and measures them. */
+class ScaleRun(options: ScaleOptions, private val say: (String) -> Unit) : LoopbackRun(options, checksStored = false) {
     val arrivals = Arrivals(options, world, plan, fleet, users)
-    val controllers: List<ControllerProcess> = ControllerFiles(options, topology, plan).processes()
     private val sampler = Sampler(controllers)
     private val meters = MeterReader(vertx)
-    val clock = RealTime(vertx, world).also { network.beforeDelivery = it::follow }
     private val samples = ArrayList<Sample>()
     private val results = ArrayList<ScenarioResult>()
     private var filledInS = 0.0
@@ -91,7 +64,9 @@
         startControllers()
         sampler.start()
         users.start()
+        val began = world.nowMs
         awaitHealthy()
+        say("${controllers.size} controllers serve after ${(world.nowMs - began) / MS} s")
         checkMalformedReports()
         observe()
         fill()
@@ -104,14 +79,6 @@
         return report(problem())
     }
 
-    private suspend fun listen() {
-        val servers = StateServer(world, store, network, traffic, options.stateRps).start(vertx, topology) +
-            CloudServer(world, fleet.cloud, network, traffic, options.cloudRps).start(vertx, topology) +
-            PeerProxies(vertx, network, traffic).start(topology) +
-            WorkerServer(network, traffic, topology, fleet.cloud::at).start(vertx)
-        Future.all<Any>(servers).coAwait()
-    }
-
     /** The first a little before the others, so that it leads at first and runs are alike. */
     private suspend fun startControllers() {
         for ((index, controller) in controllers.withIndex()) {
@@ -120,19 +87,6 @@
         }
     }
 
-    private suspend fun awaitHealthy() {
-        val began = world.nowMs
-        while (users.healthyCount < controllers.size) {
-            val ended = controllers.firstOrNull { !it.isAlive }
-            if (ended != null || world.nowMs - began > START_MS) {
-                val named = ended ?: controllers[0]
-                throw StartFailed("${named.place.label} doesn't serve; its last lines:\n${named.lastLines()}")
-            }
-            delay(LOOK_MS)
-        }
-        say("${controllers.size} controllers serve after ${(world.nowMs - began) / MS} s")
-    }
-
     /** Guards against a worker that sends nonsense: it is told so at once, by each controller. */
     private suspend fun checkMalformedReports() {
         for (controller in controllers) {
@@ -238,17 +192,14 @@
     )
 
     override fun close() {
-        clock.stop()
         sampler.stop()
-        controllers.forEach { it.kill() }
-        vertx.close()
+        super.close()
     }
 
     private companion object {
         const val MS = 1000.0
         const val SECOND_MS = 1_000L
         const val LOOK_MS = 100L
-        const val START_MS = 60_000L
         const val HEAD_START_MS = 2_000L
         const val RESTART_MS = 5_000L
         const val APART_MS = 60_000L
--- a/src/scale/kotlin/oxbowlug/soak/SoakLoad.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakLoad.kt
@@ -57,12 +57,9 @@
 
     /** Calls off up to [count] jobs that run, and returns the machines that hold them. */
     fun cancelRunning(count: Int): Set<SimWorker> {
-        val running = fleet.cloud.workers.flatMap { worker ->
-            worker.onMachine().map { it.attempt.task.job.value to worker }
-        }
-        val calledOff = running.map { it.first }.distinct().shuffled(world.random).take(count)
-        for (id in calledOff) world.after(world.between(0, SPREAD_MS)) { users.cancel(JobId(id)) }
-        return running.filter { it.first in calledOff }.mapTo(LinkedHashSet()) { it.second }
+        val calledOff = drawRunning(fleet.cloud.workers, count, world.random)
+        for (id in calledOff.keys) world.after(world.between(0, SPREAD_MS)) { users.cancel(JobId(id)) }
+        return calledOff.values.flatten().toSet()
     }
 
     private companion object {
--- a/src/scale/kotlin/oxbowlug/soak/SoakOptions.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakOptions.kt
@@ -1,9 +1,7 @@
 package oxbowlug.soak
 
-import joptsimple.OptionException
-import joptsimple.OptionParser
 import joptsimple.OptionSet
-import oxbowlug.scale.InvalidOption
+import oxbowlug.scale.ArgumentParser
 import oxbowlug.scale.ScaleOptionParser
 import oxbowlug.scale.ScaleOptions
 import java.io.File
@@ -43,8 +41,10 @@
 }
 
 /** Reads and checks the arguments of a soak. */
-class SoakOptionParser {
-    private val parser = OptionParser()
+class SoakOptionParser :
+    ArgumentParser<SoakOptions>(
+        "Plays drawn troubles on real controllers over loopback, and judges them from outside.",
+    ) {
     private val first = whole("first", "first seed", 1)
     private val seeds = whole("seeds", "how many seeds are played", 3)
     private val atOnce = whole("at-once", "seeds played at the same time, each with processes of its own", 2)
@@ -56,39 +56,14 @@
         .withRequiredArg().defaultsTo("target/soak")
     private val deploy = parser.accepts("deploy", "file whose run command starts the controllers")
         .withRequiredArg().defaultsTo("deploy/service.toml")
-    private val help = parser.accepts("help", "show this help and end").forHelp()
 
-    private fun whole(name: String, what: String, default: Int) =
-        parser.accepts(name, what).withRequiredArg().ofType(Int::class.javaObjectType).defaultsTo(default)
+    override fun read(given: OptionSet) = SoakOptions(
+        given.valueOf(first).toLong(), given.valueOf(seeds), given.valueOf(atOnce), given.valueOf(workers),
+        given.valueOf(controllers), given.valueOf(groups), given.valueOf(firstPort), File(given.valueOf(output)),
+        File(given.valueOf(deploy)),
+    )
 
-    /** Null when only the help was asked for, which is then printed. */
-    fun parse(arguments: List<String>): SoakOptions? {
-        val given = try {
-            parser.parse(*arguments.toTypedArray())
-        } catch (e: OptionException) {
-            throw InvalidOption(e.message.orEmpty())
-        }
-        if (given.has(help)) {
-            println("Plays drawn troubles on real controllers over loopback, and judges them from outside.\n")
-            parser.printHelpOn(System.out)
-            return null
-        }
-        given.nonOptionArguments().firstOrNull()?.let { throw InvalidOption("$it: is not an option") }
-        return read(given).also(::check)
-    }
-
-    private fun read(given: OptionSet): SoakOptions = try {
-        SoakOptions(
-            given.valueOf(first).toLong(), given.valueOf(seeds), given.valueOf(atOnce), given.valueOf(workers),
-            given.valueOf(controllers), given.valueOf(groups), given.valueOf(firstPort), File(given.valueOf(output)),
-            File(given.valueOf(deploy)),
-        )
-    } catch (e: OptionException) {
-        // Values are converted only when they are asked for.
-        throw InvalidOption(e.message.orEmpty())
-    }
-
-    private fun check(options: SoakOptions) = with(options) {
+    override fun check(options: SoakOptions) = with(options) {
         require("first", firstSeed >= 0, "must be 0 or more")
         require("seeds", seeds in 1..MAX_SEEDS, "must be 1 to $MAX_SEEDS")
         require("at-once", atOnce in 1..MAX_AT_ONCE, "must be 1 to $MAX_AT_ONCE")
@@ -99,10 +74,6 @@
         require("deploy", deploy.isFile, "$deploy is no file; start in the root of the repository")
     }
 
-    private fun require(option: String, isValid: Boolean, problem: String) {
-        if (!isValid) throw InvalidOption("$option: $problem")
-    }
-
     private companion object {
         const val MAX_SEEDS = 10_000
         const val MAX_AT_ONCE = 8
--- a/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
@@ -1,34 +1,10 @@
 package oxbowlug.soak
 
-import io.vertx.core.Future
-import io.vertx.core.Vertx
-import io.vertx.core.VertxOptions
-import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.delay
-import oxbowlug.config.WriteLimits
 import oxbowlug.core.Invariant
-import oxbowlug.scale.CloudServer
-import oxbowlug.scale.ControllerFiles
-import oxbowlug.scale.ControllerProcess
-import oxbowlug.scale.FleetPlan
-import oxbowlug.scale.HollowFleet
-import oxbowlug.scale.Network
-import oxbowlug.scale.PeerProxies
-import oxbowlug.scale.RealTime
-import oxbowlug.scale.ReportConnections
+import oxbowlug.scale.LoopbackRun
 import oxbowlug.scale.ScaleOptions
-import oxbowlug.scale.StartFailed
-import oxbowlug.scale.StateFaults
-import oxbowlug.scale.StateServer
-import oxbowlug.scale.Topology
-import oxbowlug.scale.Traffic
-import oxbowlug.scale.Users
-import oxbowlug.scale.WorkerServer
-import oxbowlug.standin.SimStore
-import oxbowlug.standin.World
-import oxbowlug.standin.names
 import java.io.File
-import java.util.concurrent.TimeUnit
 
 /** What came of one seed. */
 sealed interface SoakVerdict {
@@ -41,32 +17,9 @@
     data class Invalid(val stoodStillMs: Long, val problems: List<String>) : SoakVerdict
 }
 
-/**
- * One seed: real controllers as processes of their own, stand-ins and users on one event loop of this one, troubles
- * drawn from the seed. Judged by the stand-ins' own record. All that it starts ends with [close].
- */
-class SoakRun(private val options: ScaleOptions, groups: Int, classPath: String? = null) : AutoCloseable {
-    val vertx: Vertx = Vertx.vertx(
-        VertxOptions().setEventLoopPoolSize(1).setBlockedThreadCheckInterval(1)
-            .setBlockedThreadCheckIntervalUnit(TimeUnit.HOURS),
-    )
-    private val world = World(options.seed)
-    private val topology = Topology(options)
-    private val network = Network(world, topology)
-    private val traffic = Traffic()
-    private val store = SimStore(world).apply {
-        limits = WriteLimits(options.writeRps, FleetPlan.VALUE_KB, FleetPlan.TXN_OPS)
-    }
-    private val stateFaults = StateFaults()
-    private val plan = FleetPlan(options, topology)
-    private val fleet = HollowFleet(
-        options, topology, world, plan, ReportConnections(vertx, network, traffic, topology.ports.workers),
-        store::names,
-    )
-    private val users = Users(vertx, world, topology, network, fleet.rules)
-    private val controllers: List<ControllerProcess> =
-        ControllerFiles(options, topology, plan, classPath).processes()
-    private val clock = RealTime(vertx, world).also { network.beforeDelivery = it::follow }
+/** One seed: troubles drawn from it, judged by the stand-ins' own record. */
+class SoakRun(options: ScaleOptions, groups: Int, classPath: String? = null) :
+    LoopbackRun(options, checksStored = true, classPath) {
     private val load = SoakLoad(world, plan, fleet, users)
     private val faults =
         RealFaults(world, topology.zones, network, store, stateFaults, fleet, load, controllers, leaseMs)
@@ -97,22 +50,6 @@
         return verdict(calmAt, clock.latestMs)
     }
 
-    private suspend fun listen() {
-        val state = StateServer(world, store, network, traffic, options.stateRps, stateFaults)
-        val servers = state.start(vertx, topology) +
-            CloudServer(world, fleet.cloud, network, traffic, options.cloudRps).start(vertx, topology) +
-            PeerProxies(vertx, network, traffic).start(topology) +
-            WorkerServer(network, traffic, topology, fleet.cloud::at).start(vertx)
-        Future.all<Any>(servers).coAwait()
-    }
-
-    private suspend fun awaitHealthy() {
-        while (users.healthyCount < controllers.size) {
-            if (world.nowMs > START_MS) throw StartFailed("controllers don't serve:\n${controllers[0].lastLines()}")
-            delay(LOOK_MS)
-        }
-    }
-
     private suspend fun awaitUntil(ms: Long) {
         while (world.nowMs < ms) delay(LOOK_MS)
     }
@@ -146,23 +83,11 @@
     private fun endedByThemselves(): List<String> =
         controllers.filter { it.endedByItself > 0 }.map { "${it.place.label} ended by itself" }
 
-    override fun close() {
-        clock.stop()
-        controllers.forEach {
-            it.resume()
-            it.kill()
-        }
-        // Not waited for, its ports were still taken when the next seed wanted them, and a soak of fifty broke off.
-        vertx.close().toCompletionStage().toCompletableFuture().get(CLOSE_S, TimeUnit.SECONDS)
-    }
-
     private companion object {
         const val MS = 1000.0
         const val SECOND_MS = 1_000L
         const val CHECK_MS = 100L
         const val LOOK_MS = 100L
-        const val START_MS = 60_000L
-        const val CLOSE_S = 20L
         const val FAULTS_FROM_MS = 3_000L
         const val FAULTS_TO_MS = 18_000L
         const val CALM_MS = 45_000L
--- a/src/test/kotlin/oxbowlug/sim/SimulatedFaults.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimulatedFaults.kt
@@ -4,6 +4,7 @@
 import oxbowlug.soak.FaultKind
 import oxbowlug.soak.FaultSchedule
 import oxbowlug.soak.LostAnswers
+import oxbowlug.soak.drawRunning
 import oxbowlug.standin.SimWorker
 
 /** Plays a drawn schedule of faults on virtual time. */
@@ -81,12 +82,9 @@
 
     /** Returns the machines that hold what is called off. */
     private fun cancelRunning(fault: Fault): Set<SimWorker> {
-        val running = day.cloud.workers.flatMap { worker ->
-            worker.onMachine().map { it.attempt.task.job.value to worker }
-        }
-        val calledOff = running.map { it.first }.distinct().shuffled(world.random).take(1 + fault.target % MOST_JOBS)
-        for (id in calledOff) world.after(world.between(0, 500)) { day.cancel(id) }
-        return running.filter { it.first in calledOff }.mapTo(LinkedHashSet()) { it.second }
+        val calledOff = drawRunning(day.cloud.workers, 1 + fault.target % MOST_JOBS, world.random)
+        for (id in calledOff.keys) world.after(world.between(0, 500)) { day.cancel(id) }
+        return calledOff.values.flatten().toSet()
     }
 
     private companion object {
