Review: the stand-in of the state service keeps to its limit of requests

Cause: it refused changes above write_rps only; the protocol limits requests as well, renewals and watches among them.

--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -9,6 +9,7 @@
     static final double REPORT_S = 1.0;
     static final double LEASE_S = 10.0;
     static final double CANCEL_S = 30.0;
+    static final double STATE_RPS = 250.0;
     static final double WRITE_RPS = 20.0;
 
     private Site() {}
--- a/review/standin/StateService.java
+++ b/review/standin/StateService.java
@@ -37,9 +37,15 @@
     private final double writeRps;
     private double writeTokens;
     private long tokensAt = now();
+    private final double rps;
+    private double requestTokens;
+    private long requestsAt = System.nanoTime();
+    private int refusedForRate;
     volatile long slowMs = 0;
 
-    StateService(double writeRps) {
+    StateService(double rps, double writeRps) {
+        this.rps = rps;
+        this.requestTokens = rps;
         this.writeRps = writeRps;
         this.writeTokens = writeRps;
         Thread thread = new Thread(this::expireLoop);
@@ -70,6 +76,11 @@
         return new LinkedHashMap<>(entries.subMap(prefix, prefix + "\uffff"));
     }
 
+    /** Requests that got 429, since more came than `rps` allows. */
+    synchronized int refusedForRate() {
+        return refusedForRate;
+    }
+
     /** The label of the leader in the leadership record, or null. */
     synchronized String leader() {
         Entry entry = entries.get("ox/r/view");
@@ -109,6 +120,14 @@
     private Http.Reply handle(int node, Http.Call call) throws Exception {
         if (slowMs > 0) Thread.sleep(slowMs);
         synchronized (this) {
+            long now = System.nanoTime();
+            requestTokens = Math.min(rps, requestTokens + (now - requestsAt) * rps / 1e9);
+            requestsAt = now;
+            if (requestTokens < 1) {
+                refusedForRate++;
+                return new Http.Reply(429, Map.of("error", "rate"));
+            }
+            requestTokens--;
             if (down || refused.contains(node)) return new Http.Reply(503, Map.of("error", "trouble"));
             if (call.path.equals("/commit")) return commit(call.body);
             if (call.path.equals("/changes")) return changes(node, call);
--- a/review/standin/Trial.java
+++ b/review/standin/Trial.java
@@ -75,7 +75,7 @@
 
     /** Starts the stand-ins and three controllers; the cloud has `capacity` machines, `up` of them up. */
     final void begin(int capacity, int up, String objectives) throws Exception {
-        state = new StateService(Site.WRITE_RPS);
+        state = new StateService(Site.STATE_RPS, Site.WRITE_RPS);
         fleet = new Fleet(List.of(Site.KOCKA), capacity, 3.0, 5.0, Site.REPORT_S, Site.LEASE_S, record);
         List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < deployment.controllers.size(); i++) ports.add(state.listen(i));
