--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -22,7 +22,9 @@
     }
 
     /** One machine type, as the cloud publishes it. */
-    record Type(String label, double cores, double gpus, double memGb, double price, double readyS, List<String> zones) {
+    record Type(
+        String label, double cores, double gpus, double memGb, double price, double readyS, List<String> zones
+    ) {
         Map<String, Object> encode() {
             Map<String, Object> map = new LinkedHashMap<>();
             map.put("label", label);
--- a/review/standin/StateService.java
+++ b/review/standin/StateService.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-/** The state service by its published protocol. Each controller has an address of its own, so that one can be refused. */
+/** The state service by its published protocol. Each controller has its own address, so that one can be refused. */
 final class StateService {
     record Entry(Object value, long mark, Long tether) {}
 
