Review: the controllers' ports are kept apart from those of outgoing connections

Cause: the scripts took free ports from the range that the system gives to outgoing connections, and let them go before the controllers listened. Done: ports below that range, searched from another place by each process.

--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -40,20 +40,31 @@
         String line = Files.readAllLines(repository.resolve("deploy/service.toml")).stream()
             .filter(text -> text.startsWith("run = ")).findFirst().orElseThrow();
         command = List.of(line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')).split(" "));
-        List<ServerSocket> held = new ArrayList<>();
-        List<String> addresses = new ArrayList<>();
-        for (int i = 0; i < count * 2; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"));
-            held.add(socket);
-            addresses.add("127.0.0.1:" + socket.getLocalPort());
-        }
-        for (ServerSocket socket : held) socket.close();
+        List<String> addresses = freeAddresses(count * 2);
         for (int i = 0; i < count; i++) {
             controllers.add(new Controller("gaul-" + i, zones.get(i % zones.size()), addresses.get(2 * i),
                 addresses.get(2 * i + 1)));
         }
     }
 
+    /**
+     * Free ports below those that the system gives to outgoing connections, or one of these could take a port before
+     * its controller listens. Each process begins its search elsewhere, so that two runs at a time don't meet.
+     */
+    private static List<String> freeAddresses(int count) {
+        List<String> addresses = new ArrayList<>();
+        int first = (int) (ProcessHandle.current().pid() % 900) * 20;
+        for (int i = 0; addresses.size() < count && i < 18_000; i++) {
+            int port = 10_000 + (first + i) % 18_000;
+            try (ServerSocket socket = new ServerSocket(port, 1, java.net.InetAddress.getByName("127.0.0.1"))) {
+                addresses.add("127.0.0.1:" + socket.getLocalPort());
+            } catch (java.io.IOException e) {
+                // The port is in use.
+            }
+        }
+        return addresses;
+    }
+
     /** Writes the settings; `shared` is the text of the `[settings]` tables. Peers may be reached through proxies. */
     void write(List<Integer> statePorts, int cloudPort, String shared) throws Exception {
         for (int i = 0; i < controllers.size(); i++) {
