--- a/src/test/kotlin/oxbowlug/knownred/KnownRedExtension.kt
+++ b/src/test/kotlin/oxbowlug/knownred/KnownRedExtension.kt
@@ -17,7 +17,7 @@
     companion object {
         val list: KnownRedList by lazy {
             val file = File(KnownRedList.FILE)
-            KnownRedList.parse(if (file.exists()) file.readText() else "")
+            KnownRedList.parse(if (file.exists()) file.readText() else "").also { it.printScripts() }
         }
 
         fun nameOf(method: Method): String = "${method.declaringClass.name}#${method.name}"
