Metrics: size of a plan, expected and reserved tasks, pending rentals, heap

Change: gauges for the last plan's size, the forecast's tasks, rentals pending and requested, and the heap; a warning with the same sizes for each plan that takes a tenth of the lease; the load line has them as well. Behaviour is unchanged.

--- a/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
+++ b/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.core.instrument.Meter
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import oxbowlug.controller.ControllerStatus
+import oxbowlug.port.HeapUsage
 import oxbowlug.port.Invariant
 import oxbowlug.port.Meters
 import java.util.EnumMap
@@ -68,6 +69,15 @@
         gauges["commit.backlog"] = { status.commitBacklog }
         gauges["tasks.waiting"] = { status.waitingTasks }
         gauges["machines"] = { status.machineCount }
+        gauges["plan.jobs"] = { status.lastPlanSize.jobs }
+        gauges["plan.machines"] = { status.lastPlanSize.machines }
+        gauges["forecast.expected.tasks"] = { status.lastPlanSize.expectedTasks }
+        gauges["forecast.reserved.tasks"] = { status.lastPlanSize.reservedTasks }
+        gauges["rentals.pending.requests"] = { status.pendingRentalRequests }
+        gauges["rentals.pending.machines"] = { status.pendingRentalMachines }
+        gauges["rentals.requested.machines"] = { status.requestedMachines }
+        gauges["heap.used.bytes"] = { HeapUsage.usedBytes }
+        gauges["heap.max.bytes"] = { HeapUsage.maxBytes }
         gauges["cancellations.open"] = { status.openCancellations }
         gauges["rate.writes.left"] = { status.writesLeft }
         gauges["rate.cloud.left"] = { status.cloudCallsLeft }
--- a/src/main/kotlin/oxbowlug/controller/ControllerStatus.kt
+++ b/src/main/kotlin/oxbowlug/controller/ControllerStatus.kt
@@ -4,6 +4,7 @@
 import oxbowlug.cancellation.CancellationTracker
 import oxbowlug.election.LeaderElection
 import oxbowlug.election.LeadershipRole
+import oxbowlug.plan.PlanSize
 import oxbowlug.port.Clock
 import oxbowlug.request.UserRequestHandler
 
@@ -29,6 +30,12 @@
             ?.machines
             ?.size ?: 0
 
+    /** The size of this leader's last plan. */
+    val lastPlanSize: PlanSize get() = terms.latest?.lastPlanSize ?: PlanSize.NONE
+    val pendingRentalRequests: Int get() = terms.latest?.pendingRentals?.size ?: 0
+    val pendingRentalMachines: Int get() = terms.latest?.pendingRentals?.sumOf { it.request.count } ?: 0
+    val requestedMachines: Long get() = terms.latest?.requestedMachines ?: 0
+
     /** Changes that the leader's token bucket allows at once. */
     val writesLeft: Double get() = limits.leaderWrites.available(clock.steadyMs())
     val cloudCallsLeft: Double get() = limits.cloudCalls.available(clock.steadyMs())
--- a/src/main/kotlin/oxbowlug/leader/ControllerLoad.kt
+++ b/src/main/kotlin/oxbowlug/leader/ControllerLoad.kt
@@ -1,6 +1,8 @@
 package oxbowlug.leader
 
 import org.slf4j.LoggerFactory
+import oxbowlug.plan.PlanSize
+import oxbowlug.port.HeapUsage
 import oxbowlug.port.Meters
 
 /**
@@ -22,6 +24,7 @@
         var plans = 0
         var longestPlanNs = 0L
         var plansNs = 0L
+        var lastPlan = PlanSize.NONE
         var heartbeats = 0
 
         /** The longest delay of a tick. */
@@ -41,8 +44,10 @@
     fun recordPlan(
         nanos: Long,
         priced: Int,
+        size: PlanSize,
     ) {
         meters.recordPlan(nanos, priced)
+        window.lastPlan = size
         window.plans++
         window.plansNs += nanos
         window.longestPlanNs = maxOf(window.longestPlanNs, nanos)
@@ -65,11 +70,13 @@
     override fun toString(): String =
         "load: steps=${window.steps} stepsMs=${window.stepsNs / MS} longestStepMs=${window.longestStepNs / MS} " +
             "plans=${window.plans} plansMs=${window.plansNs / MS} longestPlanMs=${window.longestPlanNs / MS} " +
-            "heartbeats=${window.heartbeats} latestTickMs=${window.latestTickMs}"
+            "heartbeats=${window.heartbeats} latestTickMs=${window.latestTickMs} " +
+            "heapUsedMb=${HeapUsage.usedBytes / BYTES_PER_MB} lastPlan: ${window.lastPlan}"
 
     private companion object {
         /** One millisecond in nanoseconds. */
         const val MS = 1_000_000
+        const val BYTES_PER_MB = 1 shl 20
         val log = LoggerFactory.getLogger("leader")
     }
 }
--- a/src/main/kotlin/oxbowlug/leader/LeaderTerm.kt
+++ b/src/main/kotlin/oxbowlug/leader/LeaderTerm.kt
@@ -9,6 +9,7 @@
 import oxbowlug.invariant.Invariants
 import oxbowlug.lease.LeaseRenewalDelegates
 import oxbowlug.lease.WorkerLeaseRenewals
+import oxbowlug.plan.PlanSize
 import oxbowlug.port.Clock
 import oxbowlug.port.CloudPort
 import oxbowlug.port.StatePort
@@ -17,6 +18,7 @@
 import oxbowlug.record.RequestIds
 import oxbowlug.record.WritableFormat
 import oxbowlug.scaling.MachineScaler
+import oxbowlug.scaling.PendingRental
 import oxbowlug.scheduling.SchedulingRound
 import oxbowlug.timing.Timing
 import oxbowlug.timing.TokenBucket
@@ -83,6 +85,9 @@
     val isDeposed: Boolean get() = recordWriter.isDeposed
     val commitBacklog: Int get() = recordWriter.backlog
     val waitingTasks: Int get() = planning.waitingTasks
+    val lastPlanSize: PlanSize get() = planning.lastSize
+    val pendingRentals: List<PendingRental> get() = scaler.pendingRentals
+    val requestedMachines: Long get() = scaler.requestedMachines
 
     init {
         cache.forEachActive { id, stored -> stored.value?.let { cluster.applyJob(id, stored, it) } }
--- a/src/main/kotlin/oxbowlug/leader/PlanningLoop.kt
+++ b/src/main/kotlin/oxbowlug/leader/PlanningLoop.kt
@@ -5,8 +5,10 @@
 import oxbowlug.config.Settings
 import oxbowlug.invariant.DecisionContext
 import oxbowlug.plan.Plan
+import oxbowlug.plan.PlanSize
 import oxbowlug.plan.Planner
 import oxbowlug.port.Clock
+import oxbowlug.port.HeapUsage
 import oxbowlug.scheduling.SchedulingRound
 import oxbowlug.timing.Timing
 import oxbowlug.wire.MachineId
@@ -40,6 +42,9 @@
     var waitingTasks = 0
         private set
 
+    var lastSize = PlanSize.NONE
+        private set
+
     fun tick(
         types: Map<TypeName, MachineType>,
         now: Long,
@@ -59,7 +64,18 @@
         if (log.isDebugEnabled) log.debug("{}", PlanSummary(plan, snapshot))
         round.apply(plan)
         val elapsedNs = clock.nanoTime() - beganNs
-        load.recordPlan(elapsedNs, plan.priced)
+        val size = PlanSize.of(snapshot, plan)
+        lastSize = size
+        load.recordPlan(elapsedNs, plan.priced, size)
+        if (elapsedNs / NS_PER_MS >= timing.slowPlanMs) {
+            log.warn(
+                "slow plan: elapsedMs={} {} heapUsedMb={} {}",
+                elapsedNs / NS_PER_MS,
+                size,
+                HeapUsage.usedBytes / BYTES_PER_MB,
+                decisions.describe(),
+            )
+        }
         if (plan.starts.isNotEmpty() || plan.stops.isNotEmpty()) {
             log.info(
                 "plan applied: starts={} stops={} elapsedMs={} {}",
@@ -92,6 +108,7 @@
         /** The next plan begins at least this many times the duration of the last one after the last one's start. */
         const val PLAN_INTERVAL_FACTOR = 5
         const val NS_PER_MS = 1_000_000
+        const val BYTES_PER_MB = 1 shl 20
         val log = LoggerFactory.getLogger("leader")
     }
 }
--- a/src/main/kotlin/oxbowlug/plan/Plan.kt
+++ b/src/main/kotlin/oxbowlug/plan/Plan.kt
@@ -24,5 +24,7 @@
     val unplaced: Int,
     /** How many machine costs the planner computed: the measure of its work. */
     val priced: Int,
+    /** Number of forecast tasks for which the plan holds or rents capacity. */
+    val reservedTasks: Int,
     val move: Consolidation.Move? = null,
 )
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -31,6 +31,7 @@
     private val rentals = LinkedHashMap<MachineKind, Int>()
     private val reserved = LinkedHashSet<MachineId>()
     private var unplaced = 0
+    private var reservedTasks = 0
 
     /** See [Pricing.startDelayWeight]; of the job that is being placed. */
     private var startDelayWeight = 0.0
@@ -57,7 +58,8 @@
         val isSteady = unplaced == 0 && stops.isEmpty()
         for (job in Ranking.order(reserves, snapshot.horizonS, snapshot.postponeFactor)) reserve(job)
         val move = if (isSteady && snapshot.mayMove) Consolidation.choose(machines, reserved, snapshot) else null
-        return Plan(starts, stops, targets, rentals, reserved, unplaced, candidates.priced + preemptions.priced, move)
+        val priced = candidates.priced + preemptions.priced
+        return Plan(starts, stops, targets, rentals, reserved, unplaced, priced, reservedTasks, move)
     }
 
     private fun placement(job: PlanJob): JobPlacement? = snapshot.teams[job.spec.team]?.let { JobPlacement(job, it) }
@@ -80,6 +82,7 @@
             host.allocate(need)
             host.id?.let(reserved::add)
             zones.addTask(host.zone)
+            reservedTasks++
         }
     }
 
--- a/src/main/kotlin/oxbowlug/scaling/MachineScaler.kt
+++ b/src/main/kotlin/oxbowlug/scaling/MachineScaler.kt
@@ -45,6 +45,10 @@
     private var isReleaseInFlight = false
     private var nextReleaseAt = 0L
 
+    /** Machines asked of the cloud in this term; a repeated request counts again. */
+    var requestedMachines = 0L
+        private set
+
     /** Whether a list was applied in this term. Before that the present fleet isn't known, so nothing is rented. */
     var hasInventory = false
         private set
@@ -84,6 +88,7 @@
 
     private fun requestRental(rental: PendingRental) {
         rental.isInFlight = true
+        requestedMachines += rental.request.count
         val request = rental.request
         val kind = MachineKind(request.type, request.zone, request.spot)
         cloud.rent(request) { outcome ->
