Planner: the rentals of a plan in a class of their own; PlanSize beside the plan's summary

Change: PlannedRentals holds what a plan rents, chooses the kind and adds the machine; PlanSize stands in leader, beside PlanSummary.

--- a/src/main/kotlin/oxbowlug/controller/ControllerStatus.kt
+++ b/src/main/kotlin/oxbowlug/controller/ControllerStatus.kt
@@ -4,7 +4,7 @@
 import oxbowlug.cancellation.CancellationTracker
 import oxbowlug.election.LeaderElection
 import oxbowlug.election.LeadershipRole
-import oxbowlug.plan.PlanSize
+import oxbowlug.leader.PlanSize
 import oxbowlug.port.Clock
 import oxbowlug.request.UserRequestHandler
 
--- a/src/main/kotlin/oxbowlug/leader/ControllerLoad.kt
+++ b/src/main/kotlin/oxbowlug/leader/ControllerLoad.kt
@@ -1,7 +1,6 @@
 package oxbowlug.leader
 
 import org.slf4j.LoggerFactory
-import oxbowlug.plan.PlanSize
 import oxbowlug.port.HeapUsage
 import oxbowlug.port.Meters
 
--- a/src/main/kotlin/oxbowlug/leader/LeaderTerm.kt
+++ b/src/main/kotlin/oxbowlug/leader/LeaderTerm.kt
@@ -9,7 +9,6 @@
 import oxbowlug.invariant.Invariants
 import oxbowlug.lease.LeaseRenewalDelegates
 import oxbowlug.lease.WorkerLeaseRenewals
-import oxbowlug.plan.PlanSize
 import oxbowlug.port.Clock
 import oxbowlug.port.CloudPort
 import oxbowlug.port.StatePort
--- a/src/main/kotlin/oxbowlug/plan/PlanSize.kt
+++ b/src/main/kotlin/oxbowlug/leader/PlanSize.kt
@@ -1,4 +1,7 @@
-package oxbowlug.plan
+package oxbowlug.leader
+
+import oxbowlug.plan.Plan
+import oxbowlug.plan.Snapshot
 
 /** How much one planning round was given and what it decided, to be read in logs and metrics. */
 internal data class PlanSize(
--- a/src/main/kotlin/oxbowlug/leader/PlanningLoop.kt
+++ b/src/main/kotlin/oxbowlug/leader/PlanningLoop.kt
@@ -5,7 +5,6 @@
 import oxbowlug.config.Settings
 import oxbowlug.invariant.DecisionContext
 import oxbowlug.plan.Plan
-import oxbowlug.plan.PlanSize
 import oxbowlug.plan.Planner
 import oxbowlug.port.Clock
 import oxbowlug.port.HeapUsage
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -22,13 +22,11 @@
     private val changedMachines = ChangedMachines()
     private val candidates = PlacementCandidates(machines, snapshot, changedMachines)
     private val preemptions = PreemptionCandidates(machines, snapshot)
-    private val rentalCosts = RentalCosts(snapshot)
-    private val machinesInZone = HashMap<Zone, Int>()
+    private val rentals = PlannedRentals(machines, snapshot, changedMachines)
     private val hasMachinesWithoutGpus = machines.any { it.type.gpus <= 0.0 }
     private val starts = ArrayList<Start>()
     private val stops = ArrayList<AttemptId>()
     private val targets = HashMap<AttemptId, MachineId>()
-    private val rentals = LinkedHashMap<MachineKind, Int>()
     private val reserved = LinkedHashSet<MachineId>()
     private var unplaced = 0
     private var reservedTasks = 0
@@ -38,7 +36,6 @@
 
     init {
         for ((index, machine) in machines.withIndex()) {
-            machinesInZone.merge(machine.zone, 1, Int::plus)
             machine.recordChangesIn(changedMachines, index)
         }
     }
@@ -59,7 +56,7 @@
         for (job in Ranking.order(reserves, snapshot.horizonS, snapshot.postponeFactor)) reserve(job)
         val move = if (isSteady && snapshot.mayMove) Consolidation.choose(machines, reserved, snapshot) else null
         val priced = candidates.priced + preemptions.priced
-        return Plan(starts, stops, targets, rentals, reserved, unplaced, priced, reservedTasks, move)
+        return Plan(starts, stops, targets, rentals.byKind, reserved, unplaced, priced, reservedTasks, move)
     }
 
     private fun placement(job: PlanJob): JobPlacement? = snapshot.teams[job.spec.team]?.let { JobPlacement(job, it) }
@@ -232,10 +229,11 @@
         val booting = candidates.cheapest(Capacity.BOOTING, placement.zones)
         val isBetter = booting != null && booting.cost < scarce.cost && booting.delayS < job.runEstimateS
         if (booting != null && isBetter && booting.machine.spot) return booting.machine
-        if (!snapshot.mayRent) return null
-        val rental = cheapestRental(job, placement.need, placement.zones, placement.remaining) ?: return null
+        val rental =
+            rentals.cheapest(job, placement.need, placement.zones, placement.remaining, startDelayWeight) ?: return null
         val startsInS = rental.type.bootS + rental.type.fetchS(job.spec)
-        return if (rental.kind.spot && rental.cost < scarce.cost && startsInS < job.runEstimateS) rent(rental) else null
+        val isWorthRenting = rental.kind.spot && rental.cost < scarce.cost && startsInS < job.runEstimateS
+        return if (isWorthRenting) rentals.rent(rental) else null
     }
 
     private fun bootingOrRented(
@@ -245,35 +243,13 @@
         remaining: Int,
     ): PlanMachine? {
         val booting = candidates.cheapest(Capacity.BOOTING, zones)
-        val rental = if (snapshot.mayRent) cheapestRental(job, need, zones, remaining) else null
-        if (rental == null) return booting?.machine
+        val rental = rentals.cheapest(job, need, zones, remaining, startDelayWeight) ?: return booting?.machine
         // A booting machine is filled first, unless a new one is cheaper even with the rent of its boot time.
         val bootCost = rental.type.price(rental.kind.spot) / Pricing.HOUR_S * rental.type.bootS
         if (booting != null && booting.cost <= rental.cost + bootCost) return booting.machine
-        return rent(rental)
+        return rentals.rent(rental)
     }
 
-    private fun rent(rental: RentalCandidate): PlanMachine {
-        rentals.merge(rental.kind, 1, Int::plus)
-        val kind = rental.kind
-        val machine = PlanMachine.forRental(rental.type, kind.zone, kind.spot, rental.type.bootS.coerceAtLeast(1.0))
-        machine.recordChangesIn(changedMachines, machines.size)
-        machines.add(machine)
-        machinesInZone.merge(machine.zone, 1, Int::plus)
-        return machine
-    }
-
-    private fun cheapestRental(
-        job: PlanJob,
-        need: Resources,
-        zones: ZoneRule,
-        remaining: Int,
-    ): RentalCandidate? =
-        rentalCosts.cheapest(job, need, zones, remaining, startDelayWeight) { zone ->
-            // Breaks ties in favor of zones with fewer machines and tasks, so that the loss of one zone costs less.
-            1.0 + (machinesInZone[zone] ?: 0) * ZONE_CROWDING_FACTOR + zones.taskCount(zone) * ZONE_CROWDING_FACTOR
-        }
-
     private fun zoneWithMostCapacity(
         job: PlanJob,
         need: Resources,
@@ -295,8 +271,4 @@
             ?.takeIf { it.value > 0 }
             ?.key
     }
-
-    private companion object {
-        const val ZONE_CROWDING_FACTOR = 1e-4
-    }
 }
--- a/src/main/kotlin/oxbowlug/plan/RentalCosts.kt
+++ b/src/main/kotlin/oxbowlug/plan/Rentals.kt
@@ -1,5 +1,6 @@
 package oxbowlug.plan
 
+import oxbowlug.plan.index.ChangedMachines
 import oxbowlug.resource.Resources
 import oxbowlug.resource.dominantShare
 import oxbowlug.resource.fetchS
@@ -14,6 +15,52 @@
     val cost: Double,
 )
 
+/** The rentals of one plan. Each machine that is to be rented joins [machines] as a booting one. */
+internal class PlannedRentals(
+    private val machines: MutableList<PlanMachine>,
+    private val snapshot: Snapshot,
+    private val changedMachines: ChangedMachines,
+) {
+    private val costs = RentalCosts(snapshot)
+    private val machinesInZone = HashMap<Zone, Int>()
+    private val counts = LinkedHashMap<MachineKind, Int>()
+    val byKind: Map<MachineKind, Int> get() = counts
+
+    init {
+        for (machine in machines) machinesInZone.merge(machine.zone, 1, Int::plus)
+    }
+
+    /** The cheapest kind for the next task of [job]; null if none may be rented. */
+    fun cheapest(
+        job: PlanJob,
+        need: Resources,
+        zones: ZoneRule,
+        remaining: Int,
+        startDelayWeight: Double,
+    ): RentalCandidate? {
+        if (!snapshot.mayRent) return null
+        return costs.cheapest(job, need, zones, remaining, startDelayWeight) { zone ->
+            // Breaks ties in favor of zones with fewer machines and tasks, so that the loss of one zone costs less.
+            1.0 + (machinesInZone[zone] ?: 0) * ZONE_CROWDING_FACTOR + zones.taskCount(zone) * ZONE_CROWDING_FACTOR
+        }
+    }
+
+    /** Rents a machine and returns it. */
+    fun rent(rental: RentalCandidate): PlanMachine {
+        val kind = rental.kind
+        val machine = PlanMachine.forRental(rental.type, kind.zone, kind.spot, rental.type.bootS.coerceAtLeast(1.0))
+        machine.recordChangesIn(changedMachines, machines.size)
+        machines.add(machine)
+        machinesInZone.merge(machine.zone, 1, Int::plus)
+        counts.merge(kind, 1, Int::plus)
+        return machine
+    }
+
+    private companion object {
+        const val ZONE_CROWDING_FACTOR = 1e-4
+    }
+}
+
 /**
  * Costs of placing a job's tasks on new machines. Zones differ only by factors for crowding and refusals, so the base
  * cost is computed once per type and number of tasks that share the machine. Computed for every zone and task, it took
