Forecast and reservations: no more tasks than the team's limit allows at once

Cause: the forecast counted each submitted task, although a team runs only as many at once as its limit allows, and the planner reserved a machine for each of them without asking for the limit. Change: a job counts in the forecast with the tasks that its team's limit allows at once, as the objectives count starts too; a reservation counts against the limit like a placed task; the window of arrivals has a fixed number of slots in place of an entry for each job. Why it works: what a plan reserves follows from quotas, whatever is submitted.

--- a/src/main/kotlin/oxbowlug/forecast/DemandForecast.kt
+++ b/src/main/kotlin/oxbowlug/forecast/DemandForecast.kt
@@ -2,31 +2,36 @@
 
 import oxbowlug.config.Objective
 import oxbowlug.config.Settings
+import oxbowlug.resource.Resources
+import oxbowlug.resource.resources
 import oxbowlug.wire.ClassName
 import oxbowlug.wire.JobSpec
 import kotlin.math.ceil
 import kotlin.math.ln
 import kotlin.math.sqrt
 
+/** Tasks of a class that are expected to need capacity; [example] is the last job of the class that was submitted. */
+internal class ExpectedTasks(
+    val example: JobSpec,
+    val count: Int,
+)
+
 /**
  * Forecasts how many tasks of each class will need capacity within the boot time of a machine, from the tasks that were
  * submitted and cancelled within the last [windowMs]. It tracks only classes whose start delay has an objective: for
  * them an early start is worth more than the rent of reserved capacity.
+ *
+ * Of an array only as many tasks count as its team's limit allows at once: the others can't need capacity at the same
+ * time, and the objectives don't count their starts either.
  */
 internal class DemandForecast(
-    settings: Settings,
+    private val settings: Settings,
     private val windowMs: Long,
 ) {
-    /** A submission or, with negative [tasks], a cancellation. */
-    private class Change(
-        val atMs: Long,
-        val tasks: Int,
-    )
-
-    private class TrackedClass(
+    private inner class TrackedClass(
         val objective: Objective.Wait,
     ) {
-        val changes = ArrayDeque<Change>()
+        val arrivals = ArrivalWindow(windowMs)
         var example: JobSpec? = null
     }
 
@@ -46,7 +51,7 @@
     ) {
         firstSubmissionMs = minOf(firstSubmissionMs, atMs)
         val trackedClass = trackedClasses[spec.className] ?: return
-        trackedClass.changes.addLast(Change(atMs, spec.tasks))
+        trackedClass.arrivals.add(atMs, concurrentTasks(spec))
         trackedClass.example = spec
     }
 
@@ -55,28 +60,34 @@
         spec: JobSpec,
         atMs: Long,
     ) {
-        trackedClasses[spec.className]?.changes?.addLast(Change(atMs, -spec.tasks))
+        trackedClasses[spec.className]?.arrivals?.add(atMs, -concurrentTasks(spec))
+    }
+
+    /** How many tasks of a job its team's limit allows at once. */
+    private fun concurrentTasks(spec: JobSpec): Int {
+        val team = settings.teams[spec.team] ?: return spec.tasks
+        val limit = Resources(team.maxCores, team.maxGpus, Double.POSITIVE_INFINITY)
+        return minOf(spec.tasks, spec.resources().timesIn(limit))
     }
 
     /** For each class an example job, with the number of tasks for which capacity should be kept free. */
     fun expected(
         nowMs: Long,
         bootS: (JobSpec) -> Double,
-    ): List<Pair<JobSpec, Int>> {
-        val result = ArrayList<Pair<JobSpec, Int>>()
+    ): List<ExpectedTasks> {
+        val result = ArrayList<ExpectedTasks>()
         // Counts from the first submission, which may be earlier than this leader's term: the term may be short.
         val observedS = (minOf(windowMs, nowMs - firstSubmissionMs) / 1000.0).coerceAtLeast(MIN_OBSERVED_S)
         for (trackedClass in trackedClasses.values) {
-            trackedClass.changes.removeIf { it.atMs < nowMs - windowMs }
             val example = trackedClass.example ?: continue
-            if (trackedClass.changes.none { it.tasks > 0 }) continue
-            val netArrivals = trackedClass.changes.sumOf { it.tasks }.coerceAtLeast(0)
-            val sumOfSquares = trackedClass.changes.sumOf { it.tasks.toDouble() * it.tasks }
+            val sums = trackedClass.arrivals.sums(nowMs)
+            if (!sums.hasSubmissions) continue
+            val netArrivals = sums.netTasks.coerceAtLeast(0).toDouble()
             val windowFraction = bootS(example) / observedS
             // Standard deviation of a compound Poisson count; the objective's share sets how many of them to cover.
             val deviations = -ln((1.0 - trackedClass.objective.share).coerceAtLeast(1e-3)) / 2.0
-            val count = ceil(netArrivals * windowFraction + deviations * sqrt(sumOfSquares * windowFraction)).toInt()
-            if (count > 0) result.add(example to count)
+            val count = ceil(netArrivals * windowFraction + deviations * sqrt(sums.squaredTasks * windowFraction))
+            if (count > 0.0) result.add(ExpectedTasks(example, count.toInt()))
         }
         return result
     }
--- a/src/main/kotlin/oxbowlug/leader/PlanSize.kt
+++ b/src/main/kotlin/oxbowlug/leader/PlanSize.kt
@@ -29,7 +29,7 @@
         ) = PlanSize(
             jobs = snapshot.jobs.size,
             machines = snapshot.machines.size,
-            expectedTasks = snapshot.jobs.sumOf { if (it.isReserve) it.pending.size else 0 },
+            expectedTasks = snapshot.jobs.sumOf { it.reservedTasks },
             reservedTasks = plan.reservedTasks,
             rentedMachines = plan.rentals.values.sum(),
         )
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -69,14 +69,18 @@
 
     /** Reserves or rents capacity for forecast tasks; runs last, so tasks that are already pending come first. */
     private fun reserve(job: PlanJob) {
+        val team = snapshot.teams[job.spec.team] ?: return
         val need = job.spec.resources()
         val zones = ZoneRule(job)
         startDelayWeight = 0.0
         candidates.begin(job, need, guaranteed = false)
-        for (index in job.pending.indices) {
+        for (index in 0 until job.reservedTasks) {
+            // What the team could not run needs no capacity, so a reservation counts like a placed task.
+            if (!team.isWithinLimit(need)) return
             val ready = candidates.cheapest(Capacity.FREE, zones)
-            val host = ready?.machine ?: bootingOrRented(job, need, zones, job.pending.size - index) ?: return
+            val host = ready?.machine ?: bootingOrRented(job, need, zones, job.reservedTasks - index) ?: return
             host.allocate(need)
+            team.add(need)
             host.id?.let(reserved::add)
             zones.addTask(host.zone)
             reservedTasks++
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -36,11 +36,13 @@
     val avoid: Set<MachineId>,
     /** Some of its tasks were stopped a moment ago to be moved to other machines. */
     val isMoving: Boolean = false,
-    /** Stands for forecast tasks that aren't submitted yet: reserves capacity, but starts and stops nothing. */
-    val isReserve: Boolean = false,
+    /** Forecast tasks, not submitted yet, for which capacity is reserved; such a job starts and stops nothing. */
+    val reservedTasks: Int = 0,
     /** Its own priority, or the more urgent one of a job that depends on it. */
     val priority: Priority = spec.priority,
-)
+) {
+    val isReserve: Boolean get() = reservedTasks > 0
+}
 
 /** The planner's input: the jobs, machines and teams at the start of a round, and the policy for it. */
 internal class Snapshot(
--- a/src/main/kotlin/oxbowlug/resource/Resources.kt
+++ b/src/main/kotlin/oxbowlug/resource/Resources.kt
@@ -2,6 +2,7 @@
 
 import oxbowlug.wire.JobSpec
 import oxbowlug.wire.MachineType
+import kotlin.math.floor
 
 /** Amounts of each resource: what a task needs, or what a machine has or has free. */
 internal data class Resources(
@@ -21,6 +22,22 @@
             gpus <= available.gpus + ROUNDING_TOLERANCE &&
             memoryGb <= available.memoryGb + ROUNDING_TOLERANCE
 
+    /** How many tasks that each need this amount fit in [available] together; [Int.MAX_VALUE] if nothing limits them. */
+    fun timesIn(available: Resources): Int {
+        val count =
+            minOf(
+                timesIn(cores, available.cores),
+                timesIn(gpus, available.gpus),
+                timesIn(memoryGb, available.memoryGb),
+            )
+        return count.coerceIn(0.0, Int.MAX_VALUE.toDouble()).toInt()
+    }
+
+    private fun timesIn(
+        amount: Double,
+        available: Double,
+    ): Double = if (amount > 0.0) floor((available + ROUNDING_TOLERANCE) / amount) else Double.POSITIVE_INFINITY
+
     companion object {
         /** Sums of decimal amounts have rounding errors; this is far below any amount that a job requests. */
         private const val ROUNDING_TOLERANCE = 1e-6
--- a/src/main/kotlin/oxbowlug/scheduling/PendingJobs.kt
+++ b/src/main/kotlin/oxbowlug/scheduling/PendingJobs.kt
@@ -3,11 +3,14 @@
 import oxbowlug.cluster.ClusterState
 import oxbowlug.cluster.Job
 import oxbowlug.plan.PlanJob
+import oxbowlug.plan.PlanTeam
 import oxbowlug.port.Clock
 import oxbowlug.record.Phase
+import oxbowlug.resource.resources
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobKind
 import oxbowlug.wire.MachineType
+import oxbowlug.wire.TeamName
 import oxbowlug.wire.TypeName
 
 /** Builds the jobs of a planner snapshot: those with pending tasks, and reservations for forecast demand. */
@@ -49,30 +52,43 @@
         )
     }
 
-    /** Capacity reservations for the tasks that are expected to arrive while a machine boots: one job per class. */
-    fun forecastReservations(types: Map<TypeName, MachineType>): List<PlanJob> {
+    /**
+     * Capacity reservations for the tasks that are expected to arrive while a machine boots: one job per class, of no
+     * more tasks than its team's limit allows beside those that are placed already.
+     */
+    fun forecastReservations(
+        types: Map<TypeName, MachineType>,
+        teams: Map<TeamName, PlanTeam>,
+    ): List<PlanJob> {
         val expected =
             cluster.forecast.expected(clock.wallMs()) { spec ->
                 types.values.filter { spec.types == null || it.name in spec.types }.minOfOrNull { it.bootS } ?: 0.0
             }
-        return expected.map { (example, count) ->
+        return expected.mapNotNull { forecast ->
+            val example = forecast.example
+            val team = teams[example.team] ?: return@mapNotNull null
+            val reservedTasks = minOf(forecast.count, team.remainingTasks(example.resources()), MAX_RESERVED_TASKS)
+            if (reservedTasks == 0) return@mapNotNull null
             PlanJob(
                 id = JobId("reserve-${example.className}"),
                 // With twice the tasks, the zone cap of a spread job doesn't limit the reservation.
-                spec = example.copy(tasks = count * 2, zone = null, oneZone = false),
-                pending = IntArray(count) { it },
+                spec = example.copy(tasks = reservedTasks * 2, zone = null, oneZone = false),
+                pending = IntArray(0),
                 tasksByZone = emptyMap(),
                 waitedS = 0.0,
                 runEstimateS = 0.0,
                 deadlineInS = null,
                 weight = weights.of(example.className),
                 avoid = emptySet(),
-                isReserve = true,
+                reservedTasks = reservedTasks,
             )
         }
     }
 
     private companion object {
         const val MAX_TASKS_PER_ROUND = 512
+
+        /** Twice as many still fit an `Int`. */
+        const val MAX_RESERVED_TASKS = Int.MAX_VALUE / 2
     }
 }
--- a/src/main/kotlin/oxbowlug/scheduling/SchedulingRound.kt
+++ b/src/main/kotlin/oxbowlug/scheduling/SchedulingRound.kt
@@ -60,7 +60,7 @@
         return Snapshot(
             jobs =
                 cluster.jobs.values.mapNotNull { pendingJobs.of(it, zoneTaskCounts, now) } +
-                    pendingJobs.forecastReservations(types),
+                    pendingJobs.forecastReservations(types, teams),
             machines = machines,
             teams = teams,
             types = types.values.toList(),
--- a/src/test/kotlin/oxbowlug/forecast/DemandForecastTest.kt
+++ b/src/test/kotlin/oxbowlug/forecast/DemandForecastTest.kt
@@ -60,7 +60,19 @@
             repeat(case.submitted) { forecast.add(spec(1), 0) }
             repeat(case.cancelled) { forecast.remove(spec(1), 1_000) }
             val expected = forecast.expected(case.nowS * 1000) { 30.0 }
-            assertEquals(case.expectedTasks, expected.sumOf { it.second }, case.name)
+            assertEquals(case.expectedTasks, expected.sumOf { it.count }, case.name)
         }
     }
+
+    @Test
+    fun `of an array only as many tasks count as its team's limit allows at once`() {
+        // Found by the review: of three arrays of 100,000 tasks 600,000 were expected, with 16 GPUs to run them.
+        val forecast = DemandForecast(SettingsFile.parse(SampleSettings.valid), 90_000)
+        repeat(3) { forecast.add(spec(100_000), 0) }
+        val expected = forecast.expected(90_000) { 30.0 }
+        // 3 * 16 tasks in 90 s, a third of them within the boot time, and 1.15 deviations.
+        assertEquals(16 + 19, expected.sumOf { it.count })
+        repeat(3) { forecast.remove(spec(100_000), 1_000) }
+        assertEquals(27, forecast.expected(90_000) { 30.0 }.sumOf { it.count }, "only the deviations are left")
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
@@ -0,0 +1,167 @@
+package oxbowlug.scheduling
+
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import oxbowlug.cache.CachedJob
+import oxbowlug.cluster.ClusterState
+import oxbowlug.config.SettingsFile
+import oxbowlug.forecast.DemandForecast
+import oxbowlug.plan.Plan
+import oxbowlug.plan.Planner
+import oxbowlug.plan.Snapshot
+import oxbowlug.port.CloudPort
+import oxbowlug.port.RentalOutcome
+import oxbowlug.record.JobRecord
+import oxbowlug.record.Member
+import oxbowlug.record.Phase
+import oxbowlug.record.RequestIds
+import oxbowlug.record.WritableFormat
+import oxbowlug.scaling.MachineScaler
+import oxbowlug.testing.ManualClock
+import oxbowlug.testing.SampleSettings
+import oxbowlug.testing.failingInvariants
+import oxbowlug.testing.permissiveContext
+import oxbowlug.timing.Timing
+import oxbowlug.timing.TokenBucket
+import oxbowlug.wire.Cbor
+import oxbowlug.wire.ClassName
+import oxbowlug.wire.FencingToken
+import oxbowlug.wire.JobId
+import oxbowlug.wire.JobKind
+import oxbowlug.wire.JobSpecCodec
+import oxbowlug.wire.JobSpecCodecTest
+import oxbowlug.wire.ListedMachine
+import oxbowlug.wire.MachineId
+import oxbowlug.wire.MachineType
+import oxbowlug.wire.RentalRequest
+import oxbowlug.wire.TeamName
+import oxbowlug.wire.TypeName
+import oxbowlug.wire.Zone
+import java.util.BitSet
+import kotlin.random.Random
+
+/**
+ * Arrays of the largest size that the protocol allows, and many of them: what a leader's plans and rentals hold follows
+ * from the team's limit and the cloud, not from what users submit.
+ */
+internal class LargeArraysTest {
+    private val clock = ManualClock()
+    private val zone = Zone("a")
+    private val type =
+        MachineType(TypeName("g8"), 64.0, GPUS_PER_MACHINE, 256.0, 200.0, 2.0, 20.0, 0.0, 60.0, listOf(zone))
+    private val types = mapOf(type.name to type)
+
+    /** A leader's scheduling without its other duties, of a team with [gpusMax] GPUs; 0 means no limit. */
+    private inner class Leader(
+        gpusMax: Double,
+    ) {
+        val cloud = FakeCloud()
+        val settings = SettingsFile.parse(SampleSettings.valid.replace("gpus_max = 16.0", "gpus_max = $gpusMax"))
+        val timing = Timing(settings, Random(1))
+        val cluster =
+            ClusterState(
+                FencingToken(1),
+                clock,
+                timing,
+                DemandForecast(settings, timing.arrivalWindowMs),
+                invariants = failingInvariants,
+            )
+        val scaler =
+            MachineScaler(
+                RequestIds(Member("n0", "x")),
+                settings,
+                cloud,
+                clock,
+                timing,
+                TokenBucket(settings.cloud.rps),
+                cluster,
+                permissiveContext,
+            )
+        private val round =
+            SchedulingRound(settings, clock, timing, cluster, scaler, clock.now) { WritableFormat.HEAD_AND_PARTS }
+        lateinit var snapshot: Snapshot
+
+        fun submit(
+            arrays: Int,
+            className: String = CLASS_WITH_OBJECTIVE,
+        ) = repeat(arrays) { index ->
+            val spec =
+                JobSpecCodec.decode(JobSpecCodecTest.valid()).copy(
+                    id = JobId("run-$className-$index"),
+                    className = ClassName(className),
+                    team = TeamName("vision"),
+                    kind = JobKind.ARRAY,
+                    tasks = MAX_TASKS,
+                    cores = 60.0,
+                    gpus = GPUS_PER_MACHINE,
+                    memoryGb = 200.0,
+                    types = null,
+                    zone = null,
+                    oneZone = false,
+                    spread = false,
+                    spot = false,
+                    dependsOn = emptyList(),
+                )
+            val record = JobRecord(spec, clock.now, Phase.ACTIVE, BitSet(), 1, emptyMap(), "w")
+            val value = Cbor.decode(Cbor.encode(record.encode()))
+            cluster.applyJob(spec.id, CachedJob(Phase.ACTIVE, 1, spec.tasks, 0, 0, value), value)
+        }
+
+        /** One step of the leader, with a plan. */
+        fun plan(): Plan {
+            scaler.tick(types)
+            snapshot = round.snapshot(types, mayMove = false)
+            return Planner(snapshot).plan().also(round::apply)
+        }
+
+        val machinesOnOrder: Int get() = scaler.pendingRentals.sumOf { it.request.count }
+    }
+
+    /** Lists no machine, and answers rentals with [answer]; null leaves them without an answer. */
+    private class FakeCloud(
+        var answer: RentalOutcome? = null,
+    ) : CloudPort {
+        var machinesAsked = 0
+        var calls = 0
+
+        override fun types(done: (List<MachineType>?) -> Unit) = Unit
+
+        override fun rent(
+            request: RentalRequest,
+            done: (RentalOutcome) -> Unit,
+        ) {
+            calls++
+            machinesAsked += request.count
+            answer?.let(done)
+        }
+
+        override fun releaseMachines(
+            machines: List<MachineId>,
+            done: (Boolean) -> Unit,
+        ) = Unit
+
+        override fun list(done: (List<ListedMachine>?) -> Unit) = done(emptyList())
+    }
+
+    @Test
+    fun `capacity reserved for the largest arrays of a class stays within the team's limit`() {
+        // Found by the review: three such arrays made the forecast reserve 600,000 machines, for a team with 96 GPUs,
+        // and each leader ran out of memory.
+        val leader = Leader(gpusMax = 16.0)
+        leader.submit(arrays = 3)
+        repeat(5) {
+            val plan = leader.plan()
+            assertTrue(plan.rentals.values.sum() <= 2, "${plan.rentals} for 16 GPUs")
+            assertTrue(leader.snapshot.machines.size <= 2, "${leader.snapshot.machines.size} machines for 16 GPUs")
+            clock.now += 2_000
+        }
+        assertTrue(leader.machinesOnOrder <= 2, "${leader.machinesOnOrder} machines on order")
+        assertTrue(leader.cloud.machinesAsked > 0, "the arrays get what the team's limit allows")
+    }
+
+    private companion object {
+        const val CLASS_WITH_OBJECTIVE = "train"
+        const val MAX_TASKS = 100_000
+        const val GPUS_PER_MACHINE = 8.0
+    }
+}
