Rentals: no more on order than the cloud can be asked for before the next plan

Cause: a plan rented a machine for every task that found none, pending rentals were kept for up to six leases, and those of a kind that the cloud had just refused were sent all the same. Change: a plan may rent at most what the cloud's published rate lets the leader ask for until the next plan, less what is pending; a refusal withdraws the requests for that kind that were never sent. Why it works: tasks beyond that wait for the next plan, which comes sooner than the order book is empty, so the cloud is asked at its rate as before. Result: LargeArraysTest is green.

--- a/src/main/kotlin/oxbowlug/plan/Rentals.kt
+++ b/src/main/kotlin/oxbowlug/plan/Rentals.kt
@@ -15,7 +15,10 @@
     val cost: Double,
 )
 
-/** The rentals of one plan. Each machine that is to be rented joins [machines] as a booting one. */
+/**
+ * The rentals of one plan, at most [Snapshot.maxRentals]. Each machine that is to be rented joins [machines] as a booting
+ * one.
+ */
 internal class PlannedRentals(
     private val machines: MutableList<PlanMachine>,
     private val snapshot: Snapshot,
@@ -30,6 +33,8 @@
         for (machine in machines) machinesInZone.merge(machine.zone, 1, Int::plus)
     }
 
+    private var remainingRentals = snapshot.maxRentals
+
     /** The cheapest kind for the next task of [job]; null if none may be rented. */
     fun cheapest(
         job: PlanJob,
@@ -38,7 +43,7 @@
         remaining: Int,
         startDelayWeight: Double,
     ): RentalCandidate? {
-        if (!snapshot.mayRent) return null
+        if (remainingRentals <= 0) return null
         return costs.cheapest(job, need, zones, remaining, startDelayWeight) { zone ->
             // Breaks ties in favor of zones with fewer machines and tasks, so that the loss of one zone costs less.
             1.0 + (machinesInZone[zone] ?: 0) * ZONE_CROWDING_FACTOR + zones.taskCount(zone) * ZONE_CROWDING_FACTOR
@@ -53,6 +58,7 @@
         machines.add(machine)
         machinesInZone.merge(machine.zone, 1, Int::plus)
         counts.merge(kind, 1, Int::plus)
+        remainingRentals--
         return machine
     }
 
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -58,8 +58,8 @@
     val postponeFactor: Double,
     /** Cost of an idle slot relative to its price (mu). */
     val idleSlotPenalty: Double,
-    /** False until this leader knows which machines are rented already. */
-    val mayRent: Boolean,
+    /** The most machines that the plan may rent; 0 until this leader knows which machines are rented already. */
+    val maxRentals: Int,
     /** The most cores and memory per GPU that any active job takes. */
     val resourcesPerGpu: Resources = Resources.NONE,
     /** A task that has run for less than this isn't moved: the protocol doesn't count a start stopped within 30 s. */
--- a/src/main/kotlin/oxbowlug/scaling/MachineScaler.kt
+++ b/src/main/kotlin/oxbowlug/scaling/MachineScaler.kt
@@ -57,9 +57,7 @@
         val now = clock.steadyMs()
         if (!isListInFlight && now >= nextListAt && budget.tryTake(1.0, now)) list(now, types)
         sendDueReleases()
-        for (rental in pendingRentals.toList()) {
-            if (!rental.isInFlight && now >= rental.nextRequestAt && budget.tryTake(1.0, now)) requestRental(rental)
-        }
+        sendDueRentals(pendingRentals.toList(), now)
     }
 
     /** Sends the next batch of releases if none is in flight and the retry pause of a failed one is over. */
@@ -69,31 +67,54 @@
         if (isDue && budget.tryTake(1.0, now)) releaseBatch()
     }
 
+    /**
+     * How many machines the next plan may rent: no more than the cloud can be asked for until the plan after it, less
+     * those that are pending. Whatever users submit, pending rentals take bounded memory, and a machine that urgent work
+     * needs is asked for soon.
+     */
+    fun remainingRentals(): Int {
+        val requests = maxOf(1.0, settings.cloud.rps * timing.replanSoonMs / MS_PER_S)
+        val pending = pendingRentals.sumOf { it.request.count }
+        return ((requests * CloudCodec.MAX_RENTED).toInt() - pending).coerceAtLeast(0)
+    }
+
     /** Rents [count] machines. A request is repeated under its request id until it is answered or too old. */
     fun rent(
         kind: MachineKind,
         count: Int,
     ) {
         val now = clock.steadyMs()
+        val rentals = ArrayList<PendingRental>()
         var left = count
         while (left > 0) {
             val part = minOf(left, CloudCodec.MAX_RENTED)
             left -= part
-            val rental =
-                PendingRental(RentalRequest(requestIds.next(), kind.type, kind.zone, kind.spot, part), now, false, now)
-            pendingRentals.add(rental)
-            if (budget.tryTake(1.0, now)) requestRental(rental)
+            val request = RentalRequest(requestIds.next(), kind.type, kind.zone, kind.spot, part)
+            rentals.add(PendingRental(request, firstRequestedAt = now, nextRequestAt = now))
+        }
+        pendingRentals.addAll(rentals)
+        sendDueRentals(rentals, now)
+    }
+
+    private fun sendDueRentals(
+        rentals: List<PendingRental>,
+        now: Long,
+    ) {
+        for (rental in rentals) {
+            // A refusal that came meanwhile has withdrawn the requests for the same kind.
+            val isDue = rental in pendingRentals && !rental.isInFlight && now >= rental.nextRequestAt
+            if (isDue && budget.tryTake(1.0, now)) requestRental(rental)
         }
     }
 
     private fun requestRental(rental: PendingRental) {
-        rental.isInFlight = true
+        rental.onSent()
         requestedMachines += rental.request.count
         val request = rental.request
-        val kind = MachineKind(request.type, request.zone, request.spot)
+        val kind = rental.kind
         cloud.rent(request) { outcome ->
             val now = clock.steadyMs()
-            rental.isInFlight = false
+            rental.onAnswered()
             when (outcome) {
                 is RentalOutcome.Rented -> {
                     pendingRentals.remove(rental)
@@ -111,11 +132,11 @@
                         machine.rentedAt = rental.firstRequestedAt
                     }
                     val isFulfilled = outcome.machines.size >= request.count
-                    if (isFulfilled) refusals.onRented(kind) else refusals.onRefused(kind, now)
+                    if (isFulfilled) refusals.onRented(kind) else onRefused(kind, now)
                 }
                 RentalOutcome.NoCapacity -> {
                     pendingRentals.remove(rental)
-                    refusals.onRefused(kind, now)
+                    onRefused(kind, now)
                 }
                 // The retry has the same request id and so is idempotent: if the cloud executed the first request after
                 // all, no more machines are rented.
@@ -128,6 +149,15 @@
         }
     }
 
+    /** The cloud has no more machines of [kind], so requests for it that were never sent are withdrawn. */
+    private fun onRefused(
+        kind: MachineKind,
+        now: Long,
+    ) {
+        refusals.onRefused(kind, now)
+        pendingRentals.removeAll { it.kind == kind && !it.wasSent }
+    }
+
     /** See [CapacityRefusals.byKind]. */
     fun capacityRefusals(now: Long): Map<MachineKind, CapacityRefusal> = refusals.byKind(now)
 
@@ -229,6 +259,7 @@
     }
 
     private companion object {
+        const val MS_PER_S = 1000.0
         val log = LoggerFactory.getLogger("scaling")
     }
 }
--- a/src/main/kotlin/oxbowlug/scheduling/SchedulingRound.kt
+++ b/src/main/kotlin/oxbowlug/scheduling/SchedulingRound.kt
@@ -68,7 +68,7 @@
             horizonS = policy.replanS,
             postponeFactor = policy.postponeFactor,
             idleSlotPenalty = policy.idleSlotPenalty,
-            mayRent = scaler.hasInventory,
+            maxRentals = if (scaler.hasInventory) scaler.remainingRentals() else 0,
             resourcesPerGpu = resourcesPerGpu(),
             settledS = timing.settledS,
             mayMove = mayMove,
--- a/src/test/kotlin/oxbowlug/plan/PlacementCandidatesTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlacementCandidatesTest.kt
@@ -117,7 +117,7 @@
         30.0,
         100.0,
         1.0,
-        mayRent = true,
+        maxRentals = Int.MAX_VALUE,
         resourcesPerGpu = Resources(5.0, 0.0, 16.0),
         guaranteeWeight = 1.0,
     )
--- a/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
@@ -122,7 +122,7 @@
         30.0,
         100.0,
         1.0,
-        mayRent = true,
+        maxRentals = Int.MAX_VALUE,
         resourcesPerGpu = Resources(5.5, 0.0, 18.0),
         mayMove = mayMove,
         guaranteeWeight = guaranteeWeight,
--- a/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
+++ b/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
@@ -1,7 +1,10 @@
 package oxbowlug.scheduling
 
+import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import oxbowlug.cache.CachedJob
 import oxbowlug.cluster.ClusterState
 import oxbowlug.config.SettingsFile
@@ -25,6 +28,7 @@
 import oxbowlug.timing.TokenBucket
 import oxbowlug.wire.Cbor
 import oxbowlug.wire.ClassName
+import oxbowlug.wire.CloudCodec
 import oxbowlug.wire.FencingToken
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobKind
@@ -115,6 +119,10 @@
         }
 
         val machinesOnOrder: Int get() = scaler.pendingRentals.sumOf { it.request.count }
+
+        /** What the cloud can be asked for within one worker lease at its published rate. */
+        val machinesAskedPerLease: Int
+            get() = (settings.cloud.rps * settings.workers.leaseS * CloudCodec.MAX_RENTED).toInt()
     }
 
     /** Lists no machine, and answers rentals with [answer]; null leaves them without an answer. */
@@ -124,6 +132,9 @@
         var machinesAsked = 0
         var calls = 0
 
+        /** Each request gets all the machines that it asks for. */
+        var answersWithMachines = false
+
         override fun types(done: (List<MachineType>?) -> Unit) = Unit
 
         override fun rent(
@@ -131,8 +142,9 @@
             done: (RentalOutcome) -> Unit,
         ) {
             calls++
+            val ids = List(request.count) { MachineId("host-%06d".format(machinesAsked + it)) }
             machinesAsked += request.count
-            answer?.let(done)
+            if (answersWithMachines) done(RentalOutcome.Rented(ids)) else answer?.let(done)
         }
 
         override fun releaseMachines(
@@ -159,6 +171,52 @@
         assertTrue(leader.cloud.machinesAsked > 0, "the arrays get what the team's limit allows")
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = [CLASS_WITH_OBJECTIVE, "other"])
+    fun `arrays of a team without a limit order no more machines than the cloud can be asked for`(className: String) {
+        val leader = Leader(gpusMax = 0.0)
+        leader.submit(arrays = 30, className)
+        repeat(10) {
+            leader.plan()
+            val machines = leader.snapshot.machines.size
+            assertTrue(machines <= leader.machinesAskedPerLease, "$machines machines in a snapshot")
+            val onOrder = leader.machinesOnOrder
+            assertTrue(onOrder <= leader.machinesAskedPerLease, "$onOrder machines on order")
+            clock.now += 2_000
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = [CLASS_WITH_OBJECTIVE, "other"])
+    fun `arrays of a team without a limit are still given machines at the cloud's rate`(className: String) {
+        val leader = Leader(gpusMax = 0.0)
+        leader.cloud.answersWithMachines = true
+        leader.submit(arrays = 30, className)
+        repeat(5) {
+            leader.plan()
+            repeat(20) {
+                clock.now += 100
+                leader.scaler.tick(types)
+            }
+        }
+        // 10 s at 3 requests a second, some of them lists.
+        assertTrue(leader.cloud.calls >= 20, "${leader.cloud.calls} requests, ${leader.cloud.machinesAsked} machines")
+    }
+
+    @Test
+    fun `a refused kind is not asked for again by requests that still wait to be sent`() {
+        val leader = Leader(gpusMax = 0.0)
+        leader.cloud.answer = RentalOutcome.NoCapacity
+        leader.submit(arrays = 3, className = "other")
+        leader.plan()
+        repeat(20) {
+            clock.now += 100
+            leader.scaler.tick(types)
+        }
+        assertEquals(1, leader.cloud.calls, "calls until the backoff of the refused kind ends")
+        assertEquals(0, leader.machinesOnOrder)
+    }
+
     private companion object {
         const val CLASS_WITH_OBJECTIVE = "train"
         const val MAX_TASKS = 100_000
