--- a/src/main/kotlin/oxbowlug/scheduling/PendingJobs.kt
+++ b/src/main/kotlin/oxbowlug/scheduling/PendingJobs.kt
@@ -23,6 +23,7 @@
     /** The planner's view of [job], or null if none of its tasks may be placed now. */
     fun of(
         job: Job,
+        teams: Map<TeamName, PlanTeam>,
         zoneTaskCounts: ZoneTaskCounts,
         now: Long,
     ): PlanJob? {
@@ -32,7 +33,8 @@
         if (job.spec.kind == JobKind.GANG && job.attempts.isNotEmpty()) return null
         // The zone of a single-zone job is fixed by its attempts, so the job waits until their zones are known.
         if (job.spec.oneZone && !zoneTaskCounts.areAllZonesKnown(job)) return null
-        val pending = job.pendingTasks(minOf(MAX_TASKS_PER_ROUND, recordCapacity.maxAdditionalTasks(job)))
+        val maxTasks = minOf(maxTasksWithinLimit(job, teams), recordCapacity.maxAdditionalTasks(job))
+        val pending = job.pendingTasks(maxTasks)
         if (pending.isEmpty()) return null
         job.avoid.values.removeIf { it <= now }
         val nowMs = clock.wallMs()
@@ -52,6 +54,15 @@
         )
     }
 
+    /** How many tasks of [job] a plan may place at most, by its team's limit. A gang starts all its tasks or none. */
+    private fun maxTasksWithinLimit(
+        job: Job,
+        teams: Map<TeamName, PlanTeam>,
+    ): Int {
+        if (job.spec.kind == JobKind.GANG) return MAX_TASKS_PER_ROUND
+        return minOf(MAX_TASKS_PER_ROUND, teams[job.spec.team]?.remainingTasks(job.need) ?: 0)
+    }
+
     /**
      * Capacity reservations for the tasks that are expected to arrive while a machine boots: one job per class, of no
      * more tasks than its team's limit allows beside those that are placed already.
--- a/src/main/kotlin/oxbowlug/scheduling/SchedulingRound.kt
+++ b/src/main/kotlin/oxbowlug/scheduling/SchedulingRound.kt
@@ -59,7 +59,7 @@
         for (rental in scaler.pendingRentals) machines.addAll(availableMachines.ofPendingRental(rental, types, now))
         return Snapshot(
             jobs =
-                cluster.jobs.values.mapNotNull { pendingJobs.of(it, zoneTaskCounts, now) } +
+                cluster.jobs.values.mapNotNull { pendingJobs.of(it, teams, zoneTaskCounts, now) } +
                     pendingJobs.forecastReservations(types, teams),
             machines = machines,
             teams = teams,
--- a/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
+++ b/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
@@ -40,6 +40,7 @@
 import oxbowlug.wire.RentalRequest
 import oxbowlug.wire.TeamName
 import oxbowlug.wire.TypeName
+import oxbowlug.wire.WorkerHeartbeat
 import oxbowlug.wire.Zone
 import java.util.BitSet
 import kotlin.random.Random
@@ -118,6 +119,15 @@
             return Planner(snapshot).plan().also(round::apply)
         }
 
+        /** The workers of all rented machines send their first heartbeats. */
+        fun bootMachines() {
+            for (id in cluster.machines.keys.toList()) {
+                val heartbeat =
+                    WorkerHeartbeat(id, "10.1.0.1:9000", type.name, zone, false, 1, 1, cluster.token, null, emptyList())
+                cluster.applyHeartbeat(heartbeat, isHeartbeat = true)
+            }
+        }
+
         val machinesOnOrder: Int get() = scaler.pendingRentals.sumOf { it.request.count }
 
         /** What the cloud can be asked for within one worker lease at its published rate. */
@@ -203,6 +213,20 @@
         assertTrue(leader.cloud.calls >= 20, "${leader.cloud.calls} requests, ${leader.cloud.machinesAsked} machines")
     }
 
+    @Test
+    fun `a snapshot holds no more tasks of an array than its team's limit allows beside those that are placed`() {
+        val leader = Leader(gpusMax = 16.0)
+        leader.submit(arrays = 200, className = "other")
+        leader.cloud.answersWithMachines = true
+        leader.plan()
+        assertEquals(List(200) { 2 }, leader.snapshot.jobs.map { it.pending.size })
+        leader.bootMachines()
+        leader.plan()
+        assertEquals(2, leader.cluster.jobs.values.sumOf { it.attempts.size })
+        leader.plan()
+        assertEquals(0, leader.snapshot.jobs.size, "jobs in the snapshot of a team that is at its limit")
+    }
+
     @Test
     fun `a refused kind is not asked for again by requests that still wait to be sent`() {
         val leader = Leader(gpusMax = 0.0)
