--- a/src/scale/kotlin/oxbowlug/standin/SimCloud.kt
+++ b/src/scale/kotlin/oxbowlug/standin/SimCloud.kt
@@ -34,6 +34,10 @@
     var rentalCalls = 0
         private set
 
+    /** Machines that were asked for, whether they were rented or not; a repeated request counts again. */
+    var machinesRequested = 0
+        private set
+
     /** Machines that were returned while tasks ran on them. */
     var busyMachinesReturned = 0
         private set
@@ -55,6 +59,7 @@
     /** Rents machines. A repeated request of the same name gets the machines of the first one. */
     fun rent(request: RentalRequest): RentalOutcome {
         rentalCalls++
+        machinesRequested += request.count
         rentalsByName[request.name]?.let { return RentalOutcome.Rented(it) }
         val type = types.first { it.name == request.type }
         val count = minOf(request.count, capacity - machines.size)
--- a/src/test/kotlin/oxbowlug/sim/Simulation.kt
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -3,6 +3,7 @@
 import oxbowlug.config.Address
 import oxbowlug.config.CloudSettings
 import oxbowlug.config.LimitSettings
+import oxbowlug.config.Objective
 import oxbowlug.config.Peer
 import oxbowlug.config.Policy
 import oxbowlug.config.Settings
@@ -62,6 +63,7 @@
     val faultFreeFromMs: Long = 125_000,
     /** Length of the state service's history of changes: a client that asks for older ones has to resync in full. */
     val retainedChanges: Int = 10_000,
+    val objectives: List<Objective> = emptyList(),
 )
 
 /**
@@ -204,7 +206,7 @@
                     .map { (name, limit) ->
                         Team(TeamName(name), 0.0, Double.POSITIVE_INFINITY, parameters.teamGuarantee, limit)
                     }.associateBy { it.name },
-            objectives = emptyList(),
+            objectives = parameters.objectives,
             workers =
                 WorkerSettings(
                     parameters.heartbeatIntervalMs / 1000.0,
