Images, failures and token attempts are kept in bounded memory

Change: the 128 most recently used images of a machine; failures up to the number from which more make no difference; the time of the next token stands in the machine.

--- a/src/main/kotlin/oxbowlug/cluster/ClusterState.kt
+++ b/src/main/kotlin/oxbowlug/cluster/ClusterState.kt
@@ -63,7 +63,7 @@
     fun machine(id: MachineId): Machine? {
         if (id in removedMachines) return null
         return machines.getOrPut(id) {
-            Machine(id, clock.steadyMs()).also { it.images.addAll(initialImages[id].orEmpty()) }
+            Machine(id, clock.steadyMs()).also { initialImages[id].orEmpty().forEach(it::addImage) }
         }
     }
 
--- a/src/main/kotlin/oxbowlug/cluster/FailureBackoff.kt
+++ b/src/main/kotlin/oxbowlug/cluster/FailureBackoff.kt
@@ -19,7 +19,8 @@
         timing: Timing,
     ) {
         job.failures++
-        job.failedOn.add(machine.id)
+        // More machines would make no difference, and a job may fail for days.
+        if (job.failedOn.size < MACHINES_TO_SUSPECT_JOB + MAX_DOUBLINGS) job.failedOn.add(machine.id)
         job.avoid[machine.id] = now + timing.failedMachineAvoidMs
         machine.failedJobs.add(job.id.value)
         if (machine.failedJobs.size >= JOBS_TO_SUSPECT_MACHINE) machine.isQuarantined = true
--- a/src/main/kotlin/oxbowlug/cluster/HeartbeatReconciliation.kt
+++ b/src/main/kotlin/oxbowlug/cluster/HeartbeatReconciliation.kt
@@ -152,15 +152,13 @@
         val job = attempt.job
         if (reported.state == TaskState.RUNNING && attempt.workerState != TaskState.RUNNING) {
             attempt.runningSince = now
-            // Moves the image to the end of the set, behind those that started earlier.
-            machine.images.remove(job.spec.image)
-            machine.images.add(job.spec.image)
+            machine.onImageUsed(job.spec.image)
         }
         attempt.workerState = reported.state
         if (reported.state != TaskState.EXITED) return
         when (reported.cause) {
             ExitCause.DONE -> {
-                machine.images.add(job.spec.image)
+                machine.addImage(job.spec.image)
                 machine.failedJobs.clear()
                 job.failures = 0
                 job.markDone(attempt.task, now)
--- a/src/main/kotlin/oxbowlug/cluster/Machine.kt
+++ b/src/main/kotlin/oxbowlug/cluster/Machine.kt
@@ -61,9 +61,23 @@
 
     val attempts = LinkedHashMap<AttemptId, TaskAttempt>()
 
-    /** Images that the machine is assumed to have. */
+    /** Images that the machine is assumed to have, at most [MAX_IMAGES], the most recently used last. */
     val images = LinkedHashSet<ImageName>()
 
+    /** A task with [image] runs here. */
+    fun onImageUsed(image: ImageName) {
+        images.remove(image)
+        addImage(image)
+    }
+
+    fun addImage(image: ImageName) {
+        images.add(image)
+        if (images.size > MAX_IMAGES) images.remove(images.first())
+    }
+
+    /** When a new leader may send its fencing token to the worker once more. */
+    var nextTokenSentAt = 0L
+
     var directStartsInFlight: List<AttemptId> = emptyList()
     var isDirectCommandInFlight = false
     var nextDirectCommandAt = 0L
@@ -110,4 +124,9 @@
         }
         return result
     }
+
+    companion object {
+        /** More than a machine's cache holds; users choose how many images there are. */
+        const val MAX_IMAGES = 128
+    }
 }
--- a/src/main/kotlin/oxbowlug/leader/FencingTokenPropagation.kt
+++ b/src/main/kotlin/oxbowlug/leader/FencingTokenPropagation.kt
@@ -22,7 +22,6 @@
     /** Whether the former leader may still answer workers without knowing of this leader from other controllers. */
     private val formerLeaderMayAnswer: () -> Boolean,
 ) {
-    private val nextAttemptAt = HashMap<Machine, Long>()
     private var inFlight = 0
     private var nextBatchAt = 0L
 
@@ -35,7 +34,7 @@
         var remaining = (cluster.machines.size * timing.peerHeartbeatMs / timing.propagateTokenAfterMs + 1).toInt()
         for (machine in cluster.machines.values) {
             if (remaining == 0 || inFlight >= maxInFlight) return
-            if (!isOutOfContact(machine, now) || now < (nextAttemptAt[machine] ?: 0)) continue
+            if (!isOutOfContact(machine, now) || now < machine.nextTokenSentAt) continue
             remaining--
             sendToken(machine, now)
         }
@@ -57,7 +56,7 @@
     ) {
         val endpoint = machine.endpoint ?: return
         inFlight++
-        nextAttemptAt[machine] = now + timing.suspectAfterMs
+        machine.nextTokenSentAt = now + timing.suspectAfterMs
         workers.status(endpoint) { heartbeat ->
             if (heartbeat == null || heartbeat.machine != machine.id || heartbeat.token >= cluster.token) {
                 inFlight--
