--- a/src/main/kotlin/oxbowlug/cluster/Job.kt
+++ b/src/main/kotlin/oxbowlug/cluster/Job.kt
@@ -144,18 +144,6 @@
         if (urgent) isUrgent = true
     }
 
-    /** At most [limit] tasks without an attempt, lowest numbers first, so that `done` stays one short range. */
-    fun pendingTasks(limit: Int): IntArray {
-        val result = IntArray(minOf(limit, remaining))
-        var count = 0
-        var task = done.nextClearBit(0)
-        while (task < spec.tasks && count < result.size) {
-            if (task !in attempts) result[count++] = task
-            task = done.nextClearBit(task + 1)
-        }
-        return if (count == result.size) result else result.copyOf(count)
-    }
-
     /** Whether [attempt] is in the stored record, or in the one that is being written and may be stored already. */
     fun mayBeStored(attempt: AttemptId): Boolean =
         containsAttempt(storedPlacements, attempt) ||
--- a/src/main/kotlin/oxbowlug/plan/Snapshot.kt
+++ b/src/main/kotlin/oxbowlug/plan/Snapshot.kt
@@ -17,12 +17,29 @@
     val spot: Boolean,
 )
 
+/**
+ * The tasks of a job that wait for a machine, in the order in which they should start. Their indexes are only read when
+ * the first of them is placed: in a full fleet most waiting jobs place none, and there may be thousands of jobs.
+ */
+internal class PendingTasks(
+    val size: Int,
+    readIndexes: () -> IntArray,
+) {
+    private val indexes by lazy(LazyThreadSafetyMode.NONE, readIndexes)
+
+    operator fun get(position: Int): Int = indexes[position]
+
+    companion object {
+        /** The tasks 0 to [count] - 1. */
+        fun first(count: Int) = PendingTasks(count) { IntArray(count) { it } }
+    }
+}
+
 /** A job with tasks to place in this round. */
 internal class PlanJob(
     val id: JobId,
     val spec: JobSpec,
-    /** Indexes of the tasks that wait for a machine, in the order in which they should start. */
-    val pending: IntArray,
+    val pending: PendingTasks,
     /** Tasks that are or may be on machines, by zone. */
     val tasksByZone: Map<Zone, Int>,
     val waitedS: Double,
--- a/src/main/kotlin/oxbowlug/scheduling/PendingJobs.kt
+++ b/src/main/kotlin/oxbowlug/scheduling/PendingJobs.kt
@@ -2,6 +2,9 @@
 
 import oxbowlug.cluster.ClusterState
 import oxbowlug.cluster.Job
+import oxbowlug.cluster.pendingTaskCount
+import oxbowlug.cluster.pendingTasks
+import oxbowlug.plan.PendingTasks
 import oxbowlug.plan.PlanJob
 import oxbowlug.plan.PlanTeam
 import oxbowlug.port.Clock
@@ -34,15 +37,15 @@
         // The zone of a single-zone job is fixed by its attempts, so the job waits until their zones are known.
         if (job.spec.oneZone && !zoneTaskCounts.areAllZonesKnown(job)) return null
         val maxTasks = minOf(maxTasksWithinLimit(job, teams), recordCapacity.maxAdditionalTasks(job))
-        val pending = job.pendingTasks(maxTasks)
-        if (pending.isEmpty()) return null
+        val pendingCount = job.pendingTaskCount(maxTasks)
+        if (pendingCount == 0) return null
         job.avoid.values.removeIf { it <= now }
         val nowMs = clock.wallMs()
         val waitedS = (nowMs - readyMs) / 1000.0
         return PlanJob(
             id = job.id,
             spec = job.spec,
-            pending = pending,
+            pending = PendingTasks(pendingCount) { job.pendingTasks(pendingCount) },
             tasksByZone = zoneTaskCounts.of(job),
             waitedS = waitedS,
             runEstimateS = if (job.spec.kind == JobKind.SERVICE) 0.0 else job.spec.runEstimateS,
@@ -84,7 +87,7 @@
                 id = JobId("reserve-${example.className}"),
                 // With twice the tasks, the zone cap of a spread job doesn't limit the reservation.
                 spec = example.copy(tasks = reservedTasks * 2, zone = null, oneZone = false),
-                pending = IntArray(0),
+                pending = PendingTasks.first(0),
                 tasksByZone = emptyMap(),
                 waitedS = 0.0,
                 runEstimateS = 0.0,
--- a/src/test/kotlin/oxbowlug/plan/PlacementCandidatesTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlacementCandidatesTest.kt
@@ -62,7 +62,7 @@
         PlanJob(
             spec.id,
             spec,
-            IntArray(spec.tasks) { it },
+            PendingTasks.first(spec.tasks),
             emptyMap(),
             1.0,
             spec.runEstimateS,
@@ -163,7 +163,7 @@
                 val rule = ZoneRule(job)
                 val guaranteed = random.nextBoolean()
                 candidates.begin(job, need, guaranteed)
-                for (task in job.pending) {
+                for (task in 0 until job.pending.size) {
                     val capacity = Capacity.entries.random(random)
                     val candidate = candidates.cheapest(capacity, rule)
                     val scanned =
--- a/src/test/kotlin/oxbowlug/plan/PlacementOrderTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlacementOrderTest.kt
@@ -61,7 +61,7 @@
                 saveS = 0.0,
                 deadlineS = null,
             )
-        return PlanJob(spec.id, spec, IntArray(tasks) { it }, emptyMap(), 1.0, 20.0, null, 1.0, emptySet())
+        return PlanJob(spec.id, spec, PendingTasks.first(tasks), emptyMap(), 1.0, 20.0, null, 1.0, emptySet())
     }
 
     /** One empty machine, and nothing to rent. */
--- a/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
+++ b/src/test/kotlin/oxbowlug/plan/PlannerTest.kt
@@ -63,7 +63,7 @@
     ) = PlanJob(
         spec.id,
         spec,
-        IntArray(spec.tasks) { it },
+        PendingTasks.first(spec.tasks),
         emptyMap(),
         1.0,
         spec.runEstimateS,
@@ -266,7 +266,7 @@
             PlanJob(
                 JobId("run-1"),
                 spec("run-1", gpus = 8.0, team = "blue"),
-                intArrayOf(0),
+                PendingTasks.first(1),
                 emptyMap(),
                 90.0,
                 0.0,
