Plan: its time is a sixth of the leader's lease, below the interval of renewals

Cause: a tenth is 300 ms of a lease of 3 s; CAPACITY.md has plans of up to 248 ms on the fleet sites at their own counts, so the half that goes by rank would end within ordinary plans. Change: two thirds of the interval between two renewals. Not measured on the sites yet.

--- a/src/main/kotlin/oxbowlug/timing/Timing.kt
+++ b/src/main/kotlin/oxbowlug/timing/Timing.kt
@@ -162,8 +162,8 @@
     /** Interval of the controller's tick, which performs all periodic work that is due. */
     val tickMs: Long = (heartbeatMs / 20).toLong().coerceAtLeast(10)
 
-    /** The time for the placements of one plan, a part of the leader's lease: the event loop renews none meanwhile. */
-    val planLimitMs: Long = leadershipLeaseTtlMs / 10
+    /** The time for the placements of one plan, less than the interval of renewals: none is sent during a plan. */
+    val planLimitMs: Long = leadershipRenewIntervalMs * 2 / 3
 
     /** Minimum time between two plans, so that one plan covers a burst of events. */
     val planGapMs: Long = heartbeatMs.toLong() / 20
