--- a/src/main/kotlin/oxbowlug/plan/PlacementOrder.kt
+++ b/src/main/kotlin/oxbowlug/plan/PlacementOrder.kt
@@ -47,7 +47,7 @@
 
 /**
  * The order in which a plan places the tasks of [ranked] jobs. How many jobs wait is up to users, so the plan ends when
- * its time is over: the event loop has to renew the leader's lease. The first half of the time goes to the jobs by rank.
+ * its time is over: the event loop has to renew the leader's lease. The first half of the time goes to jobs by rank.
  * The rest goes to the other jobs in turn, by id and from plan to plan, so that jobs which fit nowhere don't keep all
  * others waiting.
  */
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -53,7 +53,18 @@
         for (job in Ranking.order(reserves, snapshot.horizonS, snapshot.postponeFactor)) reserve(job)
         val move = if (isSteady && snapshot.mayMove) Consolidation.choose(machines, reserved, snapshot) else null
         val priced = candidates.priced + preemptions.priced
-        return Plan(starts, stops, targets, rentals.byKind, reserved, unplaced, priced, reservedTasks, lastReached, move)
+        return Plan(
+            starts,
+            stops,
+            targets,
+            rentals.byKind,
+            reserved,
+            unplaced,
+            priced,
+            reservedTasks,
+            lastReached,
+            move,
+        )
     }
 
     private fun placement(job: PlanJob): JobPlacement? = snapshot.teams[job.spec.team]?.let { JobPlacement(job, it) }
--- a/src/main/kotlin/oxbowlug/plan/Rentals.kt
+++ b/src/main/kotlin/oxbowlug/plan/Rentals.kt
@@ -16,8 +16,8 @@
 )
 
 /**
- * The rentals of one plan, at most [Snapshot.maxRentals]. Each machine that is to be rented joins [machines] as a booting
- * one.
+ * The rentals of one plan, at most [Snapshot.maxRentals]. Each machine that is to be rented joins [machines] as a
+ * booting one.
  */
 internal class PlannedRentals(
     private val machines: MutableList<PlanMachine>,
--- a/src/main/kotlin/oxbowlug/scaling/MachineScaler.kt
+++ b/src/main/kotlin/oxbowlug/scaling/MachineScaler.kt
@@ -69,8 +69,8 @@
 
     /**
      * How many machines the next plan may rent: no more than the cloud can be asked for until the plan after it, less
-     * those that are pending. Whatever users submit, pending rentals take bounded memory, and a machine that urgent work
-     * needs is asked for soon.
+     * those that are pending. Whatever users submit, pending rentals take bounded memory, and a machine that urgent
+     * work needs is asked for soon.
      */
     fun remainingRentals(): Int {
         val requests = maxOf(1.0, settings.cloud.rps * timing.replanSoonMs / MS_PER_S)
--- a/src/main/kotlin/oxbowlug/wire/ReportSize.kt
+++ b/src/main/kotlin/oxbowlug/wire/ReportSize.kt
@@ -1,8 +1,8 @@
 package oxbowlug.wire
 
 /**
- * Upper bounds of the size of a worker's heartbeat, which is a request like others: one that is larger than the protocol
- * allows is refused by every controller, and the worker's lease ends.
+ * Upper bounds of the size of a worker's heartbeat, which is a request like others: one that is larger than the
+ * protocol allows is refused by every controller, and the worker's lease ends.
  */
 object ReportSize {
     /** The largest body of a request, and of a response to a worker or user. */
--- a/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
+++ b/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
@@ -222,7 +222,11 @@
         assertEquals(List(200) { 2 }, leader.snapshot.jobs.map { it.pending.size })
         leader.bootMachines()
         leader.plan()
-        assertEquals(2, leader.cluster.jobs.values.sumOf { it.attempts.size })
+        assertEquals(
+            2,
+            leader.cluster.jobs.values
+                .sumOf { it.attempts.size },
+        )
         leader.plan()
         assertEquals(0, leader.snapshot.jobs.size, "jobs in the snapshot of a team that is at its limit")
     }
--- a/src/test/kotlin/oxbowlug/sim/LargeArraysSimulationTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/LargeArraysSimulationTest.kt
@@ -17,15 +17,24 @@
 import oxbowlug.wire.sizeAsJson
 
 /**
- * Users submit arrays of the largest size while a service runs. Guards against the review's second case: leaders ran out
- * of memory one after the other, and asked for thousands of machines.
+ * Users submit arrays of the largest size while a service runs. Guards against the review's second case: leaders ran
+ * out of memory one after the other, and asked for thousands of machines.
  */
 internal class LargeArraysSimulationTest {
     @ParameterizedTest
     @ValueSource(strings = ["nightly", "without-objective"])
     fun `the largest arrays neither stop a service nor rent more than their team may use`(className: String) {
         val objective = Objective.Wait(ClassName("nightly"), withinS = 40.0, share = 0.975)
-        val simulation = Simulation(3, parameters = SimulationParameters(objectives = listOf(objective), serviceDurationMs = 100_000L..100_001L))
+        val simulation =
+            Simulation(
+                3,
+                parameters =
+                    SimulationParameters(
+                        objectives = listOf(objective),
+                        serviceDurationMs =
+                            100_000L..100_001L,
+                    ),
+            )
         val service = service(simulation)
         simulation.time.after(3_000) { simulation.submit(service) }
         simulation.time.after(10_000) {
@@ -48,14 +57,16 @@
         assertEquals(leader, simulation.store.entry(Keys.LEADERSHIP)?.value, "the leader")
         val requested = simulation.cloud.machinesRequested
         assertTrue(requested <= MACHINES_WITHIN_LIMITS, "$requested machines were asked for")
-        val done = simulation.checker.jobs.values.sumOf { it.done.size }
+        val done =
+            simulation.checker.jobs.values
+                .sumOf { it.done.size }
         assertTrue(done > 20, "only $done tasks were done")
     }
 
     @Test
     fun `a machine gets no more tasks than its worker can report`() {
-        // Found by the review: tasks of 0.02 cores filled a machine until its heartbeats were too large for any controller,
-        // and all its tasks ended with its lease.
+        // Found by the review: tasks of 0.02 cores filled a machine until its heartbeats were too large for any
+        // controller, and all its tasks ended with its lease.
         val simulation = Simulation(3, parameters = SimulationParameters(initialMachines = 1, capacity = 1))
         var longest = 0
         var mostTasks = 0
