--- a/src/main/kotlin/oxbowlug/cluster/Machine.kt
+++ b/src/main/kotlin/oxbowlug/cluster/Machine.kt
@@ -64,27 +64,28 @@
     /** Images that the machine is assumed to have, at most [MAX_IMAGES], the most recently used last. */
     val images = LinkedHashSet<ImageName>()
 
-    /** A task with [image] runs here. */
+    /** When a new leader may send its fencing token to the worker once more. */
+    var nextTokenAt = 0L
+
+    var directStartsInFlight: List<AttemptId> = emptyList()
+    var isDirectCommandInFlight = false
+    var nextDirectCommandAt = 0L
+
+    /** Starts in direct commands that weren't answered. The worker may execute them minutes later. */
+    val unresolvedStarts = HashSet<AttemptId>()
+
+    /** Notes that a task with [image] runs here. */
     fun onImageUsed(image: ImageName) {
         images.remove(image)
         addImage(image)
     }
 
+    /** Notes that the machine has [image], which may be known already. */
     fun addImage(image: ImageName) {
         images.add(image)
         if (images.size > MAX_IMAGES) images.remove(images.first())
     }
 
-    /** When a new leader may send its fencing token to the worker once more. */
-    var nextTokenSentAt = 0L
-
-    var directStartsInFlight: List<AttemptId> = emptyList()
-    var isDirectCommandInFlight = false
-    var nextDirectCommandAt = 0L
-
-    /** Starts in direct commands that weren't answered. The worker may execute them minutes later. */
-    val unresolvedStarts = HashSet<AttemptId>()
-
     /**
      * Whether the worker's newest message had the current leader's token. The worker then refuses commands of earlier
      * leaders, so its heartbeats name every attempt that those have started.
--- a/src/main/kotlin/oxbowlug/leader/FencingTokenPropagation.kt
+++ b/src/main/kotlin/oxbowlug/leader/FencingTokenPropagation.kt
@@ -34,7 +34,7 @@
         var remaining = (cluster.machines.size * timing.peerHeartbeatMs / timing.propagateTokenAfterMs + 1).toInt()
         for (machine in cluster.machines.values) {
             if (remaining == 0 || inFlight >= maxInFlight) return
-            if (!isOutOfContact(machine, now) || now < machine.nextTokenSentAt) continue
+            if (!isOutOfContact(machine, now) || now < machine.nextTokenAt) continue
             remaining--
             sendToken(machine, now)
         }
@@ -56,7 +56,7 @@
     ) {
         val endpoint = machine.endpoint ?: return
         inFlight++
-        machine.nextTokenSentAt = now + timing.suspectAfterMs
+        machine.nextTokenAt = now + timing.suspectAfterMs
         workers.status(endpoint) { heartbeat ->
             if (heartbeat == null || heartbeat.machine != machine.id || heartbeat.token >= cluster.token) {
                 inFlight--
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -52,18 +52,17 @@
         val isSteady = unplaced == 0 && stops.isEmpty() && lastReached == null
         for (job in Ranking.order(reserves, snapshot.horizonS, snapshot.postponeFactor)) reserve(job)
         val move = if (isSteady && snapshot.mayMove) Consolidation.choose(machines, reserved, snapshot) else null
-        val priced = candidates.priced + preemptions.priced
         return Plan(
-            starts,
-            stops,
-            targets,
-            rentals.byKind,
-            reserved,
-            unplaced,
-            priced,
-            reservedTasks,
-            lastReached,
-            move,
+            starts = starts,
+            stops = stops,
+            targets = targets,
+            rentals = rentals.byKind,
+            reserved = reserved,
+            unplaced = unplaced,
+            priced = candidates.priced + preemptions.priced,
+            reservedTasks = reservedTasks,
+            resumeAfter = lastReached,
+            move = move,
         )
     }
 
--- a/src/main/kotlin/oxbowlug/plan/Rentals.kt
+++ b/src/main/kotlin/oxbowlug/plan/Rentals.kt
@@ -21,20 +21,21 @@
  */
 internal class PlannedRentals(
     private val machines: MutableList<PlanMachine>,
-    private val snapshot: Snapshot,
+    snapshot: Snapshot,
     private val changedMachines: ChangedMachines,
 ) {
     private val costs = RentalCosts(snapshot)
     private val machinesInZone = HashMap<Zone, Int>()
     private val counts = LinkedHashMap<MachineKind, Int>()
+    private var remainingRentals = snapshot.maxRentals
+
+    /** How many machines of each kind are rented. */
     val byKind: Map<MachineKind, Int> get() = counts
 
     init {
         for (machine in machines) machinesInZone.merge(machine.zone, 1, Int::plus)
     }
 
-    private var remainingRentals = snapshot.maxRentals
-
     /** The cheapest kind for the next task of [job]; null if none may be rented. */
     fun cheapest(
         job: PlanJob,
--- a/src/test/kotlin/oxbowlug/cluster/ClusterStateTest.kt
+++ b/src/test/kotlin/oxbowlug/cluster/ClusterStateTest.kt
@@ -32,6 +32,7 @@
 import oxbowlug.wire.Cbor
 import oxbowlug.wire.ExitCause
 import oxbowlug.wire.FencingToken
+import oxbowlug.wire.ImageName
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobSpecCodec
 import oxbowlug.wire.JobSpecCodecTest
@@ -379,10 +380,24 @@
         assertEquals(delays.sorted(), delays, "the delay grows")
         assertTrue(delays.last() > delays[1])
         for (index in 7..30) FailureBackoff.onError(Machine(MachineId("host-$index"), 0), job, clock.now, timing)
+        assertTrue(job.failedOn.size < 10, "machines that make no further difference are not remembered")
         val longest = maxOf(job.backoffUntil - clock.now, timing.failedMachineAvoidMs)
         assertTrue(longest <= 75_000, "with the errors over, the job would wait $longest ms despite free resources")
     }
 
+    @Test
+    fun `a machine remembers a bounded number of images, those that were used last`() {
+        val rented = Machine(MachineId("host-000009"), 0)
+        for (index in 0 until 10 * Machine.MAX_IMAGES) {
+            rented.onImageUsed(ImageName("often"))
+            rented.addImage(ImageName("img-$index"))
+        }
+        assertEquals(Machine.MAX_IMAGES, rented.images.size)
+        assertTrue(ImageName("often") in rented.images)
+        assertTrue(ImageName("img-${10 * Machine.MAX_IMAGES - 1}") in rented.images)
+        assertFalse(ImageName("img-0") in rented.images)
+    }
+
     @Test
     fun `the tasks of a silent machine fit elsewhere only if responding machines have room for them`() {
         // A silent machine of a kind that the cloud can't provide again is released only if its tasks fit elsewhere.
