--- a/src/scale/kotlin/oxbowlug/scale/FleetPlan.kt
+++ b/src/scale/kotlin/oxbowlug/scale/FleetPlan.kt
@@ -5,6 +5,7 @@
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobKind
 import oxbowlug.wire.JobSpec
+import oxbowlug.wire.JobSpecCodec
 import oxbowlug.wire.MachineType
 import oxbowlug.wire.Priority
 import oxbowlug.wire.TeamName
@@ -78,6 +79,18 @@
         )
     }
 
+    /** An array of the largest size, of a class with an objective for starts. A task takes most of a machine. */
+    fun largeArray(number: Int): PlannedJob {
+        val spec = batchJob(JobSpecCodec.MAX_TASKS.toInt(), LARGE_ARRAY_RUN_S).spec.copy(
+            id = JobId("large-%07d".format(number)),
+            className = ClassName("serving"),
+            team = TeamName(teams[number % teams.size].name),
+            priority = Priority.LOW,
+            cores = MACHINE_CORES * LARGE_TASK_SHARE,
+        )
+        return PlannedJob(spec, (LARGE_ARRAY_RUN_S * MS_PER_S).toLong())
+    }
+
     private fun spec(
         className: String,
         kind: JobKind,
@@ -136,6 +149,8 @@
         private const val IMAGES = 5
         private const val IMAGE_GB = 0.5
         private const val DEADLINE_RUN_FACTOR = 6.0
+        private const val LARGE_ARRAY_RUN_S = 2.0
+        private const val LARGE_TASK_SHARE = 0.9
         private const val MS_PER_S = 1000.0
     }
 }
--- a/src/scale/kotlin/oxbowlug/soak/Main.kt
+++ b/src/scale/kotlin/oxbowlug/soak/Main.kt
@@ -60,7 +60,7 @@
     private fun runSeed(seed: Long, slot: Int): SoakResult {
         val fleet = options.fleet(seed, slot)
         fleet.output.deleteRecursively()
-        val run = SoakRun(fleet, options.groups, classPath)
+        val run = SoakRun(fleet, options.groups, options.largeArrays, classPath)
         running.add(run)
         val result = try {
             runBlocking(run.vertx.dispatcher()) { run.execute() }
@@ -95,7 +95,8 @@
         appendLine("  faults, timed from when all controllers were healthy:")
         run.schedule.faults.forEach { appendLine("    $it") }
         append("  repeat: --first $seed --seeds 1 --workers ${options.workers} --controllers ${options.controllers} ")
-        append("--groups ${options.groups}; logs: ${options.output}/seed-$seed")
+        append("--groups ${options.groups} --large-arrays ${options.largeArrays}; ")
+        append("logs: ${options.output}/seed-$seed")
     }
 
     private companion object {
--- a/src/scale/kotlin/oxbowlug/soak/SoakLoad.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakLoad.kt
@@ -14,9 +14,11 @@
     private val plan: FleetPlan,
     private val fleet: HollowFleet,
     private val users: Users,
+    private val largeArrays: Int,
 ) {
     fun startSubmitting(untilMs: Long) {
         plan.standingJobs().forEach(::submit)
+        time.after(LARGE_ARRAYS_AFTER_MS) { submitLargeArrays(untilMs) }
         scheduleNext(untilMs)
     }
 
@@ -29,6 +31,13 @@
         }
     }
 
+    /** Nothing could run all their tasks, so their users cancel them in the end. */
+    private fun submitLargeArrays(untilMs: Long) = repeat(largeArrays) { number ->
+        val job = plan.largeArray(number)
+        fleet.registerJob(job)
+        users.submit(job) { time.after(untilMs - time.nowMs) { users.cancel(job.spec.id) } }
+    }
+
     private fun submitOne() {
         when (time.random.nextInt(JOB_CHOICES)) {
             0 -> submit(plan.urgentJob(time.between(TASKS_PER_JOB).toInt()))
@@ -71,6 +80,7 @@
         const val SHORT_RUN_S = 2.0
         const val CANCEL_PROBABILITY = 0.2
         const val CANCEL_SPREAD_MS = 500L
+        const val LARGE_ARRAYS_AFTER_MS = 2_000L
         val SUBMIT_INTERVAL_MS = 300L..900L
         val TASKS_PER_JOB = 1L..6L
         val CANCEL_AFTER_MS = 200L..10_000L
--- a/src/scale/kotlin/oxbowlug/soak/SoakOptions.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakOptions.kt
@@ -14,6 +14,7 @@
     val workers: Int,
     val controllers: Int,
     val groups: Int,
+    val largeArrays: Int,
     val firstPort: Int,
     val output: File,
     val deploy: File,
@@ -52,6 +53,7 @@
     private val workers = intOption("workers", "hollow workers", 16)
     private val controllers = intOption("controllers", "controller processes of each seed", 3)
     private val groups = intOption("groups", "groups of overlapping faults", 4)
+    private val largeArrays = intOption("large-arrays", "arrays of 100,000 tasks that users submit in each seed", 0)
     private val firstPort = intOption("first-port", "first of the ten ports that each seed in progress uses", 24_000)
     private val output = parser.accepts("output", "folder for settings and logs; those of passed seeds are deleted")
         .withRequiredArg().defaultsTo("target/soak")
@@ -60,8 +62,8 @@
 
     override fun read(parsed: OptionSet) = SoakOptions(
         parsed.valueOf(first).toLong(), parsed.valueOf(seeds), parsed.valueOf(concurrentSeeds), parsed.valueOf(workers),
-        parsed.valueOf(controllers), parsed.valueOf(groups), parsed.valueOf(firstPort), File(parsed.valueOf(output)),
-        File(parsed.valueOf(deploy)),
+        parsed.valueOf(controllers), parsed.valueOf(groups), parsed.valueOf(largeArrays), parsed.valueOf(firstPort),
+        File(parsed.valueOf(output)), File(parsed.valueOf(deploy)),
     )
 
     override fun check(options: SoakOptions) = with(options) {
@@ -71,6 +73,7 @@
         require("workers", workers in MIN_WORKERS..MAX_WORKERS, "must be $MIN_WORKERS to $MAX_WORKERS")
         require("controllers", controllers in 1..MAX_CONTROLLERS, "must be 1 to $MAX_CONTROLLERS")
         require("groups", groups in 0..MAX_GROUPS, "must be 0 to $MAX_GROUPS")
+        require("large-arrays", largeArrays in 0..MAX_LARGE_ARRAYS, "must be 0 to $MAX_LARGE_ARRAYS")
         require("first-port", firstPort in FIRST_PORT_RANGE, "must be within $FIRST_PORT_RANGE")
         require("deploy", deploy.isFile, "$deploy is not a file; run from the root of the repository")
     }
@@ -82,6 +85,7 @@
         const val MAX_WORKERS = 400
         const val MAX_CONTROLLERS = 7
         const val MAX_GROUPS = 40
+        const val MAX_LARGE_ARRAYS = 1_000
         val FIRST_PORT_RANGE = 1_024..31_900
     }
 }
--- a/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
@@ -18,9 +18,9 @@
 }
 
 /** Runs one seed: injects the faults drawn from it and checks the rules on what the stand-ins recorded. */
-internal class SoakRun(options: ScaleOptions, groups: Int, classPath: String? = null) :
+internal class SoakRun(options: ScaleOptions, groups: Int, largeArrays: Int, classPath: String? = null) :
     LoopbackRun(options, checksStoredRecords = true, classPath) {
-    private val load = SoakLoad(time, plan, fleet, users)
+    private val load = SoakLoad(time, plan, fleet, users, largeArrays)
     private val faults =
         RealFaults(time, topology.zones, network, store, stateFaults, fleet, load, controllers, leaseMs)
     val schedule = FaultSchedule.draw(options.seed, groups, FAULTS_FROM_MS, FAULTS_TO_MS, leaseMs)
--- a/src/test/kotlin/oxbowlug/soak/SoakTest.kt
+++ b/src/test/kotlin/oxbowlug/soak/SoakTest.kt
@@ -21,6 +21,17 @@
         assertEquals("2 passed, 0 failed, 0 invalid", lines.last())
     }
 
+    @Test
+    fun `real controller processes outlive large arrays with a fixed seed`() {
+        // Guards against the review's second case with the heap of the deploy file: each leader ran out of memory.
+        val lines = ArrayList<String>()
+        val arguments = arrayOf("--first", "3", "--seeds", "1", "--groups", "1", "--large-arrays", "6")
+        val options = parse(*arguments, "--at-once", "1", "--first-port", "29100")
+        val classPath = System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path")
+        assertTrue(Soak(options, lines::add, classPath).execute(), lines.joinToString("\n"))
+        assertEquals("1 passed, 0 failed, 0 invalid", lines.last())
+    }
+
     @Test
     fun `a seed always draws the same faults, and the next seed draws others`() {
         fun draw(seed: Long) =
@@ -43,6 +54,7 @@
                 Case("workers", "1"),
                 Case("controllers", "0"),
                 Case("groups", "-1"),
+                Case("large-arrays", "-1"),
                 Case("first-port", "80"),
                 Case("first", "-1"),
                 Case("deploy", "nowhere.toml"),
--- a/src/test/kotlin/oxbowlug/wire/ReportSizeTest.kt
+++ b/src/test/kotlin/oxbowlug/wire/ReportSizeTest.kt
@@ -29,7 +29,8 @@
                 for (cause in listOf(null) + ExitCause.entries) {
                     val tasks =
                         List(count) { index ->
-                            TaskStatus(AttemptId(TaskId(job, 99_999 - index), 9_999_999_999), state, cause, saved = true)
+                            val attempt = AttemptId(TaskId(job, 99_999 - index), 9_999_999_999)
+                            TaskStatus(attempt, state, cause, saved = true)
                         }
                     val bytes = StandInCodec.encodeHeartbeat(heartbeat(tasks)).sizeAsJson()
                     assertTrue(bytes <= ReportSize.MAX_BODY_BYTES, "$bytes bytes for $count tasks, $state $cause")
