--- a/src/main/kotlin/oxbowlug/leader/ControllerLoad.kt
+++ b/src/main/kotlin/oxbowlug/leader/ControllerLoad.kt
@@ -70,12 +70,11 @@
         "load: steps=${window.steps} stepsMs=${window.stepsNs / MS} longestStepMs=${window.longestStepNs / MS} " +
             "plans=${window.plans} plansMs=${window.plansNs / MS} longestPlanMs=${window.longestPlanNs / MS} " +
             "heartbeats=${window.heartbeats} latestTickMs=${window.latestTickMs} " +
-            "heapUsedMb=${HeapUsage.usedBytes / BYTES_PER_MB} lastPlan: ${window.lastPlan}"
+            "heapUsedMb=${HeapUsage.usedMb} lastPlan: ${window.lastPlan}"
 
     private companion object {
         /** One millisecond in nanoseconds. */
         const val MS = 1_000_000
-        const val BYTES_PER_MB = 1 shl 20
         val log = LoggerFactory.getLogger("leader")
     }
 }
--- a/src/main/kotlin/oxbowlug/leader/PlanningLoop.kt
+++ b/src/main/kotlin/oxbowlug/leader/PlanningLoop.kt
@@ -76,7 +76,7 @@
                 "slow plan: elapsedMs={} {} heapUsedMb={} {}",
                 elapsedNs / NS_PER_MS,
                 size,
-                HeapUsage.usedBytes / BYTES_PER_MB,
+                HeapUsage.usedMb,
                 decisions.describe(),
             )
         }
@@ -115,7 +115,6 @@
         /** The next plan begins at least this many times the duration of the last one after the last one's start. */
         const val PLAN_INTERVAL_FACTOR = 5
         const val NS_PER_MS = 1_000_000
-        const val BYTES_PER_MB = 1 shl 20
         val log = LoggerFactory.getLogger("leader")
     }
 }
--- a/src/test/kotlin/oxbowlug/forecast/ArrivalWindowTest.kt
+++ b/src/test/kotlin/oxbowlug/forecast/ArrivalWindowTest.kt
@@ -29,9 +29,10 @@
         val random = Random(1)
         for (nowMs in 1_000_000L..1_400_000L step SLOT_MS) {
             // Others' clocks are a little ahead, and a new leader reads old jobs first.
-            repeat(
-                20,
-            ) { add(nowMs - random.nextLong(-100, 2 * WINDOW_MS) / SLOT_MS * SLOT_MS, random.nextInt(-50, 51)) }
+            repeat(20) {
+                val ageMs = random.nextLong(-1, 2 * WINDOW_MS / SLOT_MS) * SLOT_MS
+                add(nowMs - ageMs, random.nextInt(-50, 51))
+            }
             val inWindow = changes.filter { it.atMs >= nowMs - WINDOW_MS }
             val sums = window.sums(nowMs)
             assertEquals(inWindow.sumOf { it.tasks.toLong() }, sums.netTasks)
