--- a/src/main/kotlin/oxbowlug/api/ApiServer.kt
+++ b/src/main/kotlin/oxbowlug/api/ApiServer.kt
@@ -18,6 +18,7 @@
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobSpecCodec
 import oxbowlug.wire.MalformedBody
+import oxbowlug.wire.ReportSize
 import oxbowlug.wire.ResponseCodec
 import oxbowlug.wire.WorkerCodec
 
@@ -158,13 +159,13 @@
     ) {
         if (request.method() != method) return replyWrongMethod(request)
         val declaredLength = request.getHeader("content-length")?.toLongOrNull() ?: 0
-        if (declaredLength > MAX_BODY_BYTES) return replyBodyTooLarge(request)
+        if (declaredLength > ReportSize.MAX_BODY_BYTES) return replyBodyTooLarge(request)
         val body = Buffer.buffer()
         var isAborted = false
         request.exceptionHandler { isAborted = true }
         request.handler { chunk ->
             if (isAborted) return@handler
-            if (body.length() + chunk.length() > MAX_BODY_BYTES) {
+            if (body.length() + chunk.length() > ReportSize.MAX_BODY_BYTES) {
                 isAborted = true
                 replyBodyTooLarge(request)
             } else {
@@ -199,7 +200,7 @@
     /** Answers without reading the rest of the body, and closes the connection. */
     private fun replyBodyTooLarge(request: HttpServerRequest) {
         request.response().putHeader("Connection", "close")
-        reply(request, 400, ResponseCodec.problem("the body has more than $MAX_BODY_BYTES bytes"))
+        reply(request, 400, ResponseCodec.problem("the body has more than ${ReportSize.MAX_BODY_BYTES} bytes"))
     }
 
     private fun reply(
@@ -218,7 +219,6 @@
     private companion object {
         const val JOB_PREFIX = "/work/"
         const val CANCEL_SUFFIX = "/cancel"
-        const val MAX_BODY_BYTES = 64 * 1024
         const val MAX_REQUEST_LINE_BYTES = 1024
         const val MAX_HEADER_BYTES = 4096
         const val IDLE_TIMEOUT_S = 120
--- a/src/main/kotlin/oxbowlug/forecast/DemandForecast.kt
+++ b/src/main/kotlin/oxbowlug/forecast/DemandForecast.kt
@@ -2,7 +2,6 @@
 
 import oxbowlug.config.Objective
 import oxbowlug.config.Settings
-import oxbowlug.resource.Resources
 import oxbowlug.resource.resources
 import oxbowlug.wire.ClassName
 import oxbowlug.wire.JobSpec
@@ -66,8 +65,7 @@
     /** How many tasks of a job its team's limit allows at once. */
     private fun concurrentTasks(spec: JobSpec): Int {
         val team = settings.teams[spec.team] ?: return spec.tasks
-        val limit = Resources(team.maxCores, team.maxGpus, Double.POSITIVE_INFINITY)
-        return minOf(spec.tasks, spec.resources().timesIn(limit))
+        return minOf(spec.tasks, spec.resources().timesWithin(team.maxCores, team.maxGpus))
     }
 
     /** For each class an example job, with the number of tasks for which capacity should be kept free. */
--- a/src/main/kotlin/oxbowlug/plan/PlanMachine.kt
+++ b/src/main/kotlin/oxbowlug/plan/PlanMachine.kt
@@ -65,7 +65,12 @@
     /** Attempts that this plan stops. */
     val stopped = HashSet<AttemptId>()
     val isReady: Boolean get() = readyInS <= 0.0
-    val hasPendingFree: Boolean get() = pendingFree.cores > 0.0 || pendingFree.gpus > 0.0 || pendingFree.memoryGb > 0.0
+    val hasPendingFree: Boolean
+        get() =
+            pendingFree.cores > 0.0 ||
+                pendingFree.gpus > 0.0 ||
+                pendingFree.memoryGb > 0.0 ||
+                pendingFree.reportBytes > 0.0
 
     /** Allocates [need] from [free]. */
     fun allocate(need: Resources) {
--- a/src/main/kotlin/oxbowlug/plan/PlanTeam.kt
+++ b/src/main/kotlin/oxbowlug/plan/PlanTeam.kt
@@ -31,8 +31,7 @@
         cores + need.cores <= maxCores + ROUNDING_TOLERANCE && gpus + need.gpus <= maxGpus + ROUNDING_TOLERANCE
 
     /** How many more tasks with [need] stay within the limit. */
-    fun remainingTasks(need: Resources): Int =
-        need.timesIn(Resources(maxCores - cores, maxGpus - gpus, Double.POSITIVE_INFINITY))
+    fun remainingTasks(need: Resources): Int = need.timesWithin(maxCores - cores, maxGpus - gpus)
 
     /** Whether one more task with [need] stays within the guarantee; a resource guarantee of 0 sets no bound for it. */
     fun guarantees(need: Resources): Boolean {
--- a/src/main/kotlin/oxbowlug/plan/Planner.kt
+++ b/src/main/kotlin/oxbowlug/plan/Planner.kt
@@ -178,6 +178,7 @@
                 minOf(need.cores, host.free.cores).coerceAtLeast(0.0),
                 minOf(need.gpus, host.free.gpus).coerceAtLeast(0.0),
                 minOf(need.memoryGb, host.free.memoryGb).coerceAtLeast(0.0),
+                minOf(need.reportBytes, host.free.reportBytes).coerceAtLeast(0.0),
             )
         host.allocate(freeNow)
         host.reservePendingFree(need - freeNow)
--- a/src/main/kotlin/oxbowlug/resource/Resources.kt
+++ b/src/main/kotlin/oxbowlug/resource/Resources.kt
@@ -2,34 +2,55 @@
 
 import oxbowlug.wire.JobSpec
 import oxbowlug.wire.MachineType
+import oxbowlug.wire.ReportSize
 import kotlin.math.floor
 
-/** Amounts of each resource: what a task needs, or what a machine has or has free. */
+/**
+ * Amounts of each resource: what a task needs, or what a machine has or has free. A machine can hold only as many tasks
+ * as its worker can report, so the bytes of a heartbeat are a resource as well: without them, tasks that need next to
+ * nothing would fit on a machine in any number.
+ */
 internal data class Resources(
     val cores: Double,
     val gpus: Double,
     val memoryGb: Double,
+    val reportBytes: Double = 0.0,
 ) {
-    operator fun plus(other: Resources) = Resources(cores + other.cores, gpus + other.gpus, memoryGb + other.memoryGb)
+    operator fun plus(other: Resources) =
+        Resources(
+            cores + other.cores,
+            gpus + other.gpus,
+            memoryGb + other.memoryGb,
+            reportBytes + other.reportBytes,
+        )
 
-    operator fun minus(other: Resources) = Resources(cores - other.cores, gpus - other.gpus, memoryGb - other.memoryGb)
+    operator fun minus(other: Resources) =
+        Resources(
+            cores - other.cores,
+            gpus - other.gpus,
+            memoryGb - other.memoryGb,
+            reportBytes - other.reportBytes,
+        )
 
-    operator fun times(factor: Double) = Resources(cores * factor, gpus * factor, memoryGb * factor)
+    operator fun times(factor: Double) =
+        Resources(cores * factor, gpus * factor, memoryGb * factor, reportBytes * factor)
 
     /** Whether [available] holds at least as much of each resource, up to [ROUNDING_TOLERANCE]. */
     fun fitsIn(available: Resources): Boolean =
         cores <= available.cores + ROUNDING_TOLERANCE &&
             gpus <= available.gpus + ROUNDING_TOLERANCE &&
-            memoryGb <= available.memoryGb + ROUNDING_TOLERANCE
-
-    /** How many tasks that each need this amount fit in [available] together; [Int.MAX_VALUE] if nothing limits them. */
-    fun timesIn(available: Resources): Int {
-        val count =
-            minOf(
-                timesIn(cores, available.cores),
-                timesIn(gpus, available.gpus),
-                timesIn(memoryGb, available.memoryGb),
-            )
+            memoryGb <= available.memoryGb + ROUNDING_TOLERANCE &&
+            reportBytes <= available.reportBytes + ROUNDING_TOLERANCE
+
+    /**
+     * How many tasks that each need this amount a team may run together with [availableCores] and [availableGpus];
+     * [Int.MAX_VALUE] if nothing limits them.
+     */
+    fun timesWithin(
+        availableCores: Double,
+        availableGpus: Double,
+    ): Int {
+        val count = minOf(timesIn(cores, availableCores), timesIn(gpus, availableGpus))
         return count.coerceIn(0.0, Int.MAX_VALUE.toDouble()).toInt()
     }
 
@@ -45,9 +66,9 @@
     }
 }
 
-internal fun JobSpec.resources() = Resources(cores, gpus, memoryGb)
+internal fun JobSpec.resources() = Resources(cores, gpus, memoryGb, ReportSize.taskBytes(id).toDouble())
 
-internal fun MachineType.resources() = Resources(cores, gpus, memoryGb)
+internal fun MachineType.resources() = Resources(cores, gpus, memoryGb, ReportSize.MAX_TASK_BYTES.toDouble())
 
 /** Time that a machine of this type takes to fetch the job's image while it fetches nothing else. */
 internal fun MachineType.fetchS(spec: JobSpec): Double = if (fetchGbPerS > 0.0) spec.imageGb / fetchGbPerS else 0.0
--- a/src/main/kotlin/oxbowlug/scheduling/AvailableMachines.kt
+++ b/src/main/kotlin/oxbowlug/scheduling/AvailableMachines.kt
@@ -13,7 +13,9 @@
 import oxbowlug.wire.MachineState
 import oxbowlug.wire.MachineType
 import oxbowlug.wire.Priority
+import oxbowlug.wire.ReportSize
 import oxbowlug.wire.TaskState
+import oxbowlug.wire.TaskStatus
 import oxbowlug.wire.TypeName
 
 /** Builds the machines of a planner snapshot with their free resources: known machines and those of pending rentals. */
@@ -81,17 +83,21 @@
 
     /**
      * Resources of the tasks that the worker still reports although their attempts were removed. They stay in use until
-     * these tasks exit.
+     * these tasks exit, and their place in the worker's heartbeats until it has forgotten them.
      */
     fun unmanagedUsage(machine: Machine): Resources {
         var sum = Resources.NONE
         for (task in machine.tasks.values) {
-            if (task.state == TaskState.EXITED || task.attempt in machine.attempts) continue
-            cluster.jobs[task.attempt.task.job]?.let { sum += it.need }
+            if (task.attempt in machine.attempts) continue
+            val need = cluster.jobs[task.attempt.task.job]?.need
+            sum += if (task.state == TaskState.EXITED || need == null) reportEntry(task) else need
         }
         return sum
     }
 
+    private fun reportEntry(task: TaskStatus) =
+        Resources(0.0, 0.0, 0.0, ReportSize.taskBytes(task.attempt.task.job).toDouble())
+
     /**
      * Resources on each target machine for the tasks that are being stopped to move there. If another task took them,
      * the moved task would have no place.
--- a/src/test/kotlin/oxbowlug/sim/LargeArraysSimulationTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/LargeArraysSimulationTest.kt
@@ -2,15 +2,19 @@
 
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import oxbowlug.config.Objective
 import oxbowlug.record.Keys
+import oxbowlug.scale.StandInCodec
 import oxbowlug.wire.ClassName
 import oxbowlug.wire.JobKind
 import oxbowlug.wire.JobSpec
 import oxbowlug.wire.Priority
+import oxbowlug.wire.ReportSize
 import oxbowlug.wire.TeamName
+import oxbowlug.wire.sizeAsJson
 
 /**
  * Users submit arrays of the largest size while a service runs. Guards against the review's second case: leaders ran out
@@ -48,6 +52,32 @@
         assertTrue(done > 20, "only $done tasks were done")
     }
 
+    @Test
+    fun `a machine gets no more tasks than its worker can report`() {
+        // Found by the review: tasks of 0.02 cores filled a machine until its heartbeats were too large for any controller,
+        // and all its tasks ended with its lease.
+        val simulation = Simulation(3, parameters = SimulationParameters(initialMachines = 1, capacity = 1))
+        var longest = 0
+        var mostTasks = 0
+        simulation.time.after(3_000) {
+            repeat(6) { index ->
+                val tiny = array(simulation, "run-00002$index", "tiny").copy(cores = 0.01, gpus = 0.0, memoryGb = 0.01)
+                simulation.submit(tiny, taskMs = 1_500)
+            }
+        }
+        simulation.time.every(250) {
+            for (worker in simulation.cloud.workers) {
+                val heartbeat = worker.recentHeartbeats.lastOrNull() ?: continue
+                longest = maxOf(longest, StandInCodec.encodeHeartbeat(heartbeat).sizeAsJson())
+                mostTasks = maxOf(mostTasks, heartbeat.tasks.size)
+            }
+        }
+        simulation.run(60_000)
+        assertEquals(emptyList<String>(), simulation.checker.ruleViolations.take(5))
+        assertTrue(longest <= ReportSize.MAX_BODY_BYTES, "a heartbeat of $longest bytes with $mostTasks tasks")
+        assertTrue(mostTasks > 400, "only $mostTasks tasks on a machine that can report some hundreds")
+    }
+
     /** Longer than the test runs: users cancel it later. */
     private fun service(simulation: Simulation): JobSpec =
         simulation.randomSpec("run-000001").copy(
