--- a/review/standin-2/Jobs.java
+++ b/review/standin-2/Jobs.java
@@ -62,6 +62,11 @@
         return result;
     }
 
+    /** The machines that a task is on now. */
+    static synchronized List<String> machinesOfTask(String furrow) {
+        return new ArrayList<>(ON.getOrDefault(furrow, List.of()));
+    }
+
     static synchronized int onMachines() {
         return ON.values().stream().mapToInt(List::size).sum();
     }
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -66,10 +66,11 @@
     private int node;
     private boolean changed;
     private long tokenChangeAt = Long.MIN_VALUE / 2;
+    /** The direct commands that were carried out, in order. */
+    final List<Map<String, Object>> carriedOut = new java.util.concurrent.CopyOnWriteArrayList<>();
     private volatile boolean gone;
-    /** The label of a controller whose answers and commands don't arrive here, or null. */
-    static volatile String deafTo;
-    static volatile long deafToBrand = -1;
+    /** Direct commands with this token don't arrive, since their sender is cut off. */
+    static volatile long cutOffBrand = -1;
     /** Ends of tasks because the lease of a worker ran out. */
     static volatile int endedByLease;
 
@@ -120,6 +121,11 @@
         return result;
     }
 
+    /** Whether the worker knows the attempt in any state. */
+    synchronized boolean knows(String furrow, long attempt) {
+        return tasks.containsKey(furrow + "#" + attempt);
+    }
+
     synchronized double freeGpus() {
         double free = ((Number) type.get("gpus")).doubleValue();
         for (Task task : tasks.values()) if (!task.isExited()) free -= Jobs.ALL.get(jobOf(task)).amount("gpus");
@@ -225,11 +231,6 @@
                 notBefore = 0;
                 Node target = nodes.get(node);
                 Web.Reply reply = Web.call(client, target.address, "POST", "/hello", report, 4000);
-                if (target.label.equals(deafTo)) {
-                    // The report has arrived, the answer doesn't.
-                    Thread.sleep(Math.max(0, now + 4000 - Record.nowMs()));
-                    reply = null;
-                }
                 if (gone) return;
                 if (reply != null && reply.status == 200) {
                     synchronized (this) {
@@ -277,7 +278,7 @@
     private Web.Reply handle(Web.Request request) throws InterruptedException {
         if (request.path.equals("/do")) {
             Object heard = request.body.get("brand");
-            if (heard != null && ((Number) heard).longValue() == deafToBrand) {
+            if (heard != null && ((Number) heard).longValue() == cutOffBrand) {
                 Thread.sleep(10_000);
                 return null;
             }
@@ -293,6 +294,7 @@
             }
             see(((Number) token).longValue());
             execute(request.body);
+            carriedOut.add(request.body);
             return new Web.Reply(200, newReport());
         }
     }
