Log under which token and session starts are sent, and which attempts are forgotten

Change: CommandLog, at debug: direct commands sent and their outcome, attempts forgotten with the cause of their exit.

--- a/src/main/kotlin/oxbowlug/leader/DirectCommands.kt
+++ b/src/main/kotlin/oxbowlug/leader/DirectCommands.kt
@@ -55,6 +55,7 @@
         machine.isDirectCommandInFlight = true
         machine.directStartsInFlight = commands.filterIsInstance<WorkerCommand.Start>().map { it.attempt }
         for (attempt in machine.directStartsInFlight) machine.attempts[attempt]?.markStartSent(now)
+        CommandLog.directCommandsSent(machine, cluster.token, commands)
         workers.command(endpoint, cluster.token, machine.position.incarnation, commands) { outcome ->
             onOutcome(machine, outcome)
         }
@@ -68,6 +69,7 @@
         val starts = machine.directStartsInFlight
         machine.isDirectCommandInFlight = false
         machine.directStartsInFlight = emptyList()
+        CommandLog.directCommandsEnded(machine, starts, outcome)
         when (outcome) {
             is CommandOutcome.Answered -> cluster.applyHeartbeat(outcome.heartbeat, isHeartbeat = false)
             CommandOutcome.NotSent -> machine.nextDirectCommandAt = clock.steadyMs() + timing.heartbeatLateMs
--- a/src/main/kotlin/oxbowlug/leader/LeaderTerm.kt
+++ b/src/main/kotlin/oxbowlug/leader/LeaderTerm.kt
@@ -153,6 +153,7 @@
             if (command !is WorkerCommand.Start) continue
             machine.attempts[command.attempt]?.markStartSentInAnswer(position, clock.steadyMs())
         }
+        CommandLog.attemptsForgotten(machine, cluster.token, commands, "answer")
         return commands
     }
 
