A worker forgets an attempt only with a token that ends the repeats of its start

Cause: an answer was taken for the end of a start. It proves that the command arrived, not that no copy will: the worker executes each copy while token and session match, and it doesn't know the attempt any more once it was told to forget it. Change: a leader has a range of tokens, from 'token' to 'epoch' of the stored record, instead of one. DirectStarts keeps, for each worker, with which token and session an attempt was started directly. ForgetCommands lets an attempt be forgotten with the present token if all direct starts of it had a lower one; else the answer to a heartbeat raises the token and forgets in one message, once a lease, or sooner if exited attempts fill a quarter of the heartbeat. Renewals by a leader that only renews, by one that hasn't read the jobs, and by delegates use the token that the worker shows, if it is of the leader's range. The successor's range, and the next epoch that the former version takes, are above it. Unanswered starts are settled by the same token, so a leader that lives long doesn't retain them for good. Why it works: the worker stores the token before it executes the forget, and rejects every earlier direct command from then on. Two cases of LeaderElectionTest named epochs that are now of the first leader's range, and name the next range; one also checks that an own token doesn't end the role. In ClusterStateTest a start without an answer is forgotten with a higher token where it was retained until the next session.

--- a/src/main/kotlin/oxbowlug/cluster/ClusterState.kt
+++ b/src/main/kotlin/oxbowlug/cluster/ClusterState.kt
@@ -8,8 +8,8 @@
 import oxbowlug.forecast.DemandForecast
 import oxbowlug.invariant.Invariants
 import oxbowlug.port.Clock
+import oxbowlug.record.FencingTokenRange
 import oxbowlug.timing.Timing
-import oxbowlug.wire.FencingToken
 import oxbowlug.wire.ImageName
 import oxbowlug.wire.JobId
 import oxbowlug.wire.MachineId
@@ -24,7 +24,7 @@
  * a recently requested machine list, which may lag, are no proof.
  */
 internal class ClusterState(
-    val token: FencingToken,
+    val tokens: FencingTokenRange,
     private val clock: Clock,
     private val timing: Timing,
     val forecast: DemandForecast,
@@ -38,7 +38,8 @@
     private val quotas = TeamQuotas(teams, timing)
     private val jobReconciliation = JobReconciliation(this, clock, timing, dependencyState)
     private val heartbeatReconciliation = HeartbeatReconciliation(this, clock, timing, quotas, invariants)
-    private val workerCommands = WorkerCommands(this, timing, quotas)
+    private val forgetCommands = ForgetCommands(tokens, timing) { jobs[it.task.job]?.mayBeStored(it) ?: false }
+    private val workerCommands = WorkerCommands(this, timing, quotas, forgetCommands)
     val jobs = LinkedHashMap<JobId, Job>()
     val machines = LinkedHashMap<MachineId, Machine>()
 
@@ -63,7 +64,7 @@
     fun machine(id: MachineId): Machine? {
         if (id in removedMachines) return null
         return machines.getOrPut(id) {
-            Machine(id, clock.steadyMs()).also { initialImages[id].orEmpty().forEach(it::addImage) }
+            Machine(id, clock.steadyMs(), tokens.first).also { initialImages[id].orEmpty().forEach(it::addImage) }
         }
     }
 
@@ -115,7 +116,7 @@
         machine: Machine?,
         attempt: TaskAttempt,
     ) {
-        val mayExist = machine != null && attempt.isCommitted && machine.mayHold(attempt, token)
+        val mayExist = machine != null && attempt.isCommitted && machine.mayHold(attempt, tokens)
         if (mayExist) commandQueue.add(attempt.machine) else removeAttempt(attempt)
     }
 
@@ -138,11 +139,21 @@
         isHeartbeat: Boolean,
     ): Machine? = heartbeatReconciliation.apply(heartbeat, isHeartbeat)
 
-    /** See [WorkerCommands.of]. */
-    fun commands(
+    /** See [WorkerCommands.inAnswer]. Notes that the returned token is sent to the worker. */
+    fun commandsInAnswer(
         machine: Machine,
         now: Long,
-    ): List<WorkerCommand> = workerCommands.of(machine, now)
+    ): CommandBatch {
+        val batch = workerCommands.inAnswer(machine, now)
+        machine.onTokenIssued(batch.token, now, timing.tokenAdvanceIntervalMs)
+        return batch
+    }
+
+    /** See [WorkerCommands.direct]. */
+    fun directCommands(
+        machine: Machine,
+        now: Long,
+    ): List<WorkerCommand> = workerCommands.direct(machine, now)
 
     /** See [WorkerCommands.stopsForCancelledJobs]. */
     fun stopsForCancelledJobs(machine: Machine): List<WorkerCommand> = workerCommands.stopsForCancelledJobs(machine)
@@ -156,7 +167,7 @@
         now: Long,
     ): Boolean {
         if (machine.isLeaseExpired ||
-            machine.token != token ||
+            machine.token !in tokens ||
             !machine.lease.isExpired(now, timing.workerLeaseExpiryMs)
         ) {
             return false
@@ -170,7 +181,7 @@
         )
         machine.isLeaseExpired = true
         machine.lease.endIncarnation()
-        machine.unresolvedStarts.clear()
+        machine.directStarts.onIncarnationEnded()
         machine.tasks = emptyMap()
         for (attempt in machine.attempts.values.toList()) {
             attempt.startSentInAnswerTo = null
--- a/src/main/kotlin/oxbowlug/cluster/HeartbeatReconciliation.kt
+++ b/src/main/kotlin/oxbowlug/cluster/HeartbeatReconciliation.kt
@@ -47,11 +47,7 @@
         }
         // The answer to a direct command has already brought a newer report.
         if (position <= machine.position) return machine
-        if (heartbeat.incarnation > machine.position.incarnation || heartbeat.token > machine.token) {
-            // Workers refuse direct commands for an earlier incarnation or with an older token, so the worker can't
-            // execute unanswered starts any more.
-            machine.unresolvedStarts.clear()
-        }
+        machine.directStarts.onReport(heartbeat.incarnation, heartbeat.token)
         val isFirstContact = machine.lastContactAt == null
         updateMachine(machine, heartbeat, position, now)
         if (isFirstContact) cluster.needsReplan = true
@@ -67,6 +63,9 @@
     ) {
         machine.position = position
         machine.token = heartbeat.token
+        if (heartbeat.token in cluster.tokens) {
+            machine.onTokenIssued(heartbeat.token, now, timing.tokenAdvanceIntervalMs)
+        }
         machine.lastContactAt = now
         machine.isLeaseExpired = false
         machine.type = heartbeat.type
@@ -83,7 +82,7 @@
         isHeartbeat: Boolean,
         now: Long,
     ) {
-        val hasCurrentToken = machine.hasAcknowledgedToken(cluster.token)
+        val hasCurrentToken = machine.hasAcknowledgedToken(cluster.tokens)
         for (attempt in machine.attempts.values.toList()) {
             val reported = machine.tasks[attempt.id]
             if (reported != null) {
@@ -110,7 +109,7 @@
         isHeartbeat: Boolean,
         now: Long,
     ) {
-        val hasCurrentToken = machine.hasAcknowledgedToken(cluster.token)
+        val hasCurrentToken = machine.hasAcknowledgedToken(cluster.tokens)
         val wasInherited = hasCurrentToken && attempt.isInherited
         if (hasCurrentToken) attempt.isInherited = false
         val answeredPosition = attempt.startSentInAnswerTo
@@ -118,7 +117,7 @@
         // the answer to the one before, or never will.
         if (isHeartbeat && answeredPosition != null && position > answeredPosition) attempt.startSentInAnswerTo = null
         attempt.workerState = null
-        if (machine.mayHold(attempt, cluster.token)) return
+        if (machine.mayHold(attempt, cluster.tokens)) return
         if (!attempt.isWanted || wasInherited && quotas.isOverQuota(attempt.job.spec.team, cluster.jobs.values, now)) {
             // An inherited attempt over quota: the former leader saw its end and gave its quota to another attempt, but
             // terminated before it stored the end.
--- a/src/main/kotlin/oxbowlug/cluster/Machine.kt
+++ b/src/main/kotlin/oxbowlug/cluster/Machine.kt
@@ -2,6 +2,7 @@
 
 import oxbowlug.config.Address
 import oxbowlug.lease.WorkerLease
+import oxbowlug.record.FencingTokenRange
 import oxbowlug.resource.Resources
 import oxbowlug.resource.resources
 import oxbowlug.wire.AttemptId
@@ -19,6 +20,8 @@
 internal class Machine(
     val id: MachineId,
     val firstSeenAt: Long,
+    /** The lowest fencing token of this leader. */
+    firstToken: FencingToken = FencingToken(0),
 ) {
     var type: TypeName? = null
     var zone: Zone? = null
@@ -36,6 +39,14 @@
 
     /** The fencing token in the worker's newest message: the highest that the worker had seen by then. */
     var token = FencingToken(0)
+
+    /** The fencing token that answers and commands to this worker have; it never falls within a term. */
+    var issuedToken = firstToken
+        private set
+
+    /** From when the worker may be given a higher token to let it forget attempts. */
+    var nextTokenAdvanceAt = Long.MIN_VALUE
+        private set
     var tasks: Map<AttemptId, TaskStatus> = emptyMap()
     var lastContactAt: Long? = null
 
@@ -67,12 +78,20 @@
     /** When a new leader may send its fencing token to the worker once more. */
     var nextTokenAt = 0L
 
-    var directStartsInFlight: List<AttemptId> = emptyList()
     var isDirectCommandInFlight = false
     var nextDirectCommandAt = 0L
-
-    /** Starts in direct commands that weren't answered. The worker may execute them minutes later. */
-    val unresolvedStarts = HashSet<AttemptId>()
+    val directStarts = DirectStarts()
+
+    /** Notes that [token] is sent to the worker. If it is higher than before, the next rise waits for [intervalMs]. */
+    fun onTokenIssued(
+        token: FencingToken,
+        now: Long,
+        intervalMs: Long,
+    ) {
+        if (token <= issuedToken) return
+        issuedToken = token
+        nextTokenAdvanceAt = now + intervalMs
+    }
 
     /** Notes that a task with [image] runs here. */
     fun onImageUsed(image: ImageName) {
@@ -87,19 +106,19 @@
     }
 
     /**
-     * Whether the worker's newest message had the current leader's token. The worker then refuses commands of earlier
+     * Whether the worker's newest message had a token of the current leader. The worker then refuses commands of earlier
      * leaders, so its heartbeats name every attempt that those have started.
      */
-    fun hasAcknowledgedToken(currentToken: FencingToken): Boolean =
-        lastContactAt != null && token == currentToken && !isLeaseExpired
+    fun hasAcknowledgedToken(currentTokens: FencingTokenRange): Boolean =
+        lastContactAt != null && token in currentTokens && !isLeaseExpired
 
     /** Whether [attempt] may exist on this machine, or may still be started here by a command that was sent. */
     fun mayHold(
         attempt: TaskAttempt,
-        currentToken: FencingToken,
+        currentTokens: FencingTokenRange,
     ): Boolean {
-        if (attempt.id in unresolvedStarts || attempt.id in directStartsInFlight) return true
-        if (attempt.isInherited && !hasAcknowledgedToken(currentToken)) return true
+        if (directStarts.mayBePending(attempt.id)) return true
+        if (attempt.isInherited && !hasAcknowledgedToken(currentTokens)) return true
         if (attempt.startSentInAnswerTo != null) return true
         val reported = tasks[attempt.id]
         return reported != null && reported.state != TaskState.EXITED
--- a/src/main/kotlin/oxbowlug/cluster/WorkerCommands.kt
+++ b/src/main/kotlin/oxbowlug/cluster/WorkerCommands.kt
@@ -2,7 +2,6 @@
 
 import oxbowlug.record.Phase
 import oxbowlug.timing.Timing
-import oxbowlug.wire.AttemptId
 import oxbowlug.wire.TaskState
 import oxbowlug.wire.TaskStatus
 import oxbowlug.wire.WorkerCommand
@@ -15,9 +14,25 @@
     private val cluster: ClusterState,
     private val timing: Timing,
     private val quotas: TeamQuotas,
+    private val forgetCommands: ForgetCommands,
 ) {
-    /** All commands for the worker of [machine]. Attempts are started only after they were stored. */
-    fun of(
+    /** All commands for the worker of [machine], to be sent in the answer to its heartbeat. */
+    fun inAnswer(
+        machine: Machine,
+        now: Long,
+    ): CommandBatch {
+        val forgets = forgetCommands.inAnswer(machine, now)
+        return CommandBatch(forgets.token, startsAndStops(machine, now) + forgets.commands)
+    }
+
+    /** All commands for the worker of [machine] that can be sent directly, with the token that it was last sent. */
+    fun direct(
+        machine: Machine,
+        now: Long,
+    ): List<WorkerCommand> = startsAndStops(machine, now) + forgetCommands.underIssuedToken(machine)
+
+    /** Attempts are started only after they were stored. */
+    private fun startsAndStops(
         machine: Machine,
         now: Long,
     ): List<WorkerCommand> {
@@ -32,11 +47,8 @@
         }
         // Attempts that the worker reports, but the leader has removed or never had on this machine.
         for (task in machine.tasks.values) {
-            if (task.attempt in machine.attempts) continue
-            when {
-                task.state != TaskState.EXITED -> result.add(WorkerCommand.Stop(task.attempt, 0.0))
-                mayForget(machine, task.attempt) -> result.add(WorkerCommand.Forget(task.attempt))
-            }
+            if (task.attempt in machine.attempts || task.state == TaskState.EXITED) continue
+            result.add(WorkerCommand.Stop(task.attempt, 0.0))
         }
         return result
     }
@@ -69,7 +81,7 @@
         // the first half of the time after which the machine is released for holding cancelled work.
         val cancelledAt = attempt.job.cancelledAt
         val isEarlyEnough = cancelledAt == null || now < cancelledAt + timing.cancelReleaseAfterMs / 2
-        if (attempt.id in machine.unresolvedStarts && isEarlyEnough) {
+        if (machine.directStarts.mayBePending(attempt.id) && isEarlyEnough) {
             result.add(WorkerCommand.Start(attempt.id))
             result.add(WorkerCommand.Stop(attempt.id, 0.0))
         }
@@ -85,17 +97,4 @@
         if (reported.state == TaskState.SAVING) return null
         return WorkerCommand.Stop(attempt.id, if (spec.savesWork) spec.saveS else 0.0)
     }
-
-    /**
-     * Whether the worker may forget an exited attempt. Afterwards another start would run the attempt again, so no
-     * start of it may be in flight, and no stored record may have it.
-     */
-    private fun mayForget(
-        machine: Machine,
-        attempt: AttemptId,
-    ): Boolean {
-        if (attempt in machine.unresolvedStarts || attempt in machine.directStartsInFlight) return false
-        val job = cluster.jobs[attempt.task.job] ?: return true
-        return !job.mayBeStored(attempt)
-    }
 }
--- a/src/main/kotlin/oxbowlug/controller/HeartbeatRouter.kt
+++ b/src/main/kotlin/oxbowlug/controller/HeartbeatRouter.kt
@@ -84,7 +84,7 @@
     private fun respond(heartbeat: WorkerHeartbeat): HeartbeatResponse {
         val role = election.role()
         val leadership = cache.leadership
-        if (leadership != null && heartbeat.token > leadership.token) {
+        if (leadership != null && heartbeat.token > leadership.tokens.last) {
             election.observeEpoch(heartbeat.token.value, null)
         }
         if (role is LeadershipRole.Follower && role.leader == leadership?.leader) {
@@ -112,9 +112,9 @@
     ): HeartbeatResponse {
         val term = terms.current() ?: return respondBeforeTerm(heartbeat, role)
         val mayMissCancellations = role is LeadershipRole.RenewalOnly && !freshness.mayRenewLeases()
-        if (heartbeat.token > term.leadership.token || mayMissCancellations) return HeartbeatResponse.Unavailable
-        val commands = term.onHeartbeat(heartbeat) ?: return HeartbeatResponse.Redirect(null)
-        return renewals.renew(heartbeat, term.leadership.token, commands)
+        if (heartbeat.token > term.leadership.tokens.last || mayMissCancellations) return HeartbeatResponse.Unavailable
+        val batch = term.onHeartbeat(heartbeat) ?: return HeartbeatResponse.Redirect(null)
+        return renewals.renew(heartbeat, batch.token, batch.commands)
     }
 
     /**
@@ -125,9 +125,9 @@
         heartbeat: WorkerHeartbeat,
         role: LeadershipRole,
     ): HeartbeatResponse {
-        val isElected = role is LeadershipRole.Leader && heartbeat.token <= role.leadership.token
+        val isElected = role is LeadershipRole.Leader && heartbeat.token <= role.leadership.tokens.last
         return if (isElected && !cache.isSynced) {
-            renewals.renew(heartbeat, role.leadership.token)
+            renewals.renew(heartbeat, role.leadership.tokens.lowestAcceptedAfter(heartbeat.token))
         } else {
             HeartbeatResponse.Unavailable
         }
--- a/src/main/kotlin/oxbowlug/election/LeaderElection.kt
+++ b/src/main/kotlin/oxbowlug/election/LeaderElection.kt
@@ -7,6 +7,7 @@
 import oxbowlug.port.LeaseRenewalOutcome
 import oxbowlug.port.StatePort
 import oxbowlug.record.DataFormat
+import oxbowlug.record.FencingTokenRange
 import oxbowlug.record.Keys
 import oxbowlug.record.LeadershipRecord
 import oxbowlug.record.Member
@@ -14,7 +15,6 @@
 import oxbowlug.timing.Timing
 import oxbowlug.wire.Change
 import oxbowlug.wire.Condition
-import oxbowlug.wire.FencingToken
 import oxbowlug.wire.Transaction
 
 /**
@@ -181,7 +181,7 @@
         Change.Put(memberKey, mapOf("label" to self.label) + DataFormat.encode(DataFormat.NEWEST), heldLease)
 
     /**
-     * Tries to become leader by writing a leadership record with the next epoch. If [registrationLease] isn't null, the
+     * Tries to become leader by writing a leadership record with the next fencing tokens. If [registrationLease] isn't null, the
      * same transaction registers this incarnation under that lease; null means that it is already registered.
      */
     private fun campaign(
@@ -192,8 +192,8 @@
         isCampaigning = true
         // The jittered delay keeps the other candidates from spending writes on the same key while one of them wins.
         nextElectionAt = now + timing.retryMs()
-        val epoch = maxOf(leadership?.epoch ?: 0L, highestEpoch) + 1
-        val newLeadership = LeadershipRecord(epoch, FencingToken(epoch), leader = self, version = 0)
+        val tokens = FencingTokenRange.after(maxOf(leadership?.epoch ?: 0L, highestEpoch))
+        val newLeadership = LeadershipRecord(tokens.last.value, tokens.first, leader = self, version = 0)
         val conditions = ArrayList<Condition>()
         conditions.add(Condition(Keys.LEADERSHIP, leadership?.version ?: 0))
         if (leadership != null) conditions.add(Condition(Keys.member(leadership.leader), 0))
--- a/src/main/kotlin/oxbowlug/leader/CommandLog.kt
+++ b/src/main/kotlin/oxbowlug/leader/CommandLog.kt
@@ -17,7 +17,6 @@
     /** Direct commands are on their way to the worker of [machine]. */
     fun directCommandsSent(
         machine: Machine,
-        token: FencingToken,
         commands: List<WorkerCommand>,
     ) {
         if (!log.isDebugEnabled) return
@@ -25,11 +24,11 @@
             "direct commands sent: machine={} incarnation={} token={} starts={} stops={}",
             machine.id,
             machine.position.incarnation,
-            token.value,
+            machine.issuedToken,
             commands.filterIsInstance<WorkerCommand.Start>().map { it.attempt },
             commands.filterIsInstance<WorkerCommand.Stop>().map { it.attempt },
         )
-        attemptsForgotten(machine, token, commands, "direct")
+        attemptsForgotten(machine, machine.issuedToken, commands, "direct")
     }
 
     /** The direct commands to [machine] had [outcome]. */
@@ -59,12 +58,13 @@
         for (command in commands) {
             if (command !is WorkerCommand.Forget) continue
             log.debug(
-                "attempt forgotten: machine={} incarnation={} token={} attempt={} reason={} sentIn={}",
+                "attempt forgotten: machine={} incarnation={} token={} attempt={} reason={} directStartToken={} sentIn={}",
                 machine.id,
                 machine.position.incarnation,
-                token.value,
+                token,
                 command.attempt,
                 machine.tasks[command.attempt]?.cause,
+                machine.directStarts.tokenOf(command.attempt),
                 sentIn,
             )
         }
--- a/src/main/kotlin/oxbowlug/leader/DirectCommands.kt
+++ b/src/main/kotlin/oxbowlug/leader/DirectCommands.kt
@@ -37,7 +37,7 @@
     ): Boolean {
         val endpoint = machine.endpoint ?: return true
         val lastContactAt = machine.lastContactAt ?: return true
-        if (!machine.hasAcknowledgedToken(cluster.token) ||
+        if (!machine.hasAcknowledgedToken(cluster.tokens) ||
             now - lastContactAt > timing.heartbeatLateMs ||
             now < machine.nextDirectCommandAt
         ) {
@@ -46,17 +46,20 @@
         if (machine.isDirectCommandInFlight) return false
         val commands =
             if (decisions.mayLead) {
-                checks.dropUnstoredStarts(machine, cluster.commands(machine, now))
+                checks.dropUnstoredStarts(machine, cluster.directCommands(machine, now))
             } else {
                 cluster.stopsForCancelledJobs(machine)
             }
         // Commands to forget exited attempts can wait for the next heartbeat.
         if (commands.all { it is WorkerCommand.Forget }) return true
         machine.isDirectCommandInFlight = true
-        machine.directStartsInFlight = commands.filterIsInstance<WorkerCommand.Start>().map { it.attempt }
-        for (attempt in machine.directStartsInFlight) machine.attempts[attempt]?.markStartSent(now)
-        CommandLog.directCommandsSent(machine, cluster.token, commands)
-        workers.command(endpoint, cluster.token, machine.position.incarnation, commands) { outcome ->
+        val starts = commands.filterIsInstance<WorkerCommand.Start>().map { it.attempt }
+        val incarnation = machine.position.incarnation
+        machine.directStarts.onSent(starts, machine.issuedToken, incarnation)
+        for (attempt in starts) machine.attempts[attempt]?.markStartSent(now)
+        CommandLog.directCommandsSent(machine, commands)
+        workers.command(endpoint, machine.issuedToken, incarnation, commands) { outcome ->
+            CommandLog.directCommandsEnded(machine, starts, outcome)
             onOutcome(machine, outcome)
         }
         return true
@@ -66,17 +69,21 @@
         machine: Machine,
         outcome: CommandOutcome,
     ) {
-        val starts = machine.directStartsInFlight
         machine.isDirectCommandInFlight = false
-        machine.directStartsInFlight = emptyList()
-        CommandLog.directCommandsEnded(machine, starts, outcome)
         when (outcome) {
-            is CommandOutcome.Answered -> cluster.applyHeartbeat(outcome.heartbeat, isHeartbeat = false)
-            CommandOutcome.NotSent -> machine.nextDirectCommandAt = clock.steadyMs() + timing.heartbeatLateMs
+            is CommandOutcome.Answered -> {
+                // An answer proves that the command has arrived, not that no copy of it will.
+                if (outcome.executed) machine.directStarts.onExecuted() else machine.directStarts.onNotExecuted()
+                cluster.applyHeartbeat(outcome.heartbeat, isHeartbeat = false)
+            }
+            CommandOutcome.NotSent -> {
+                machine.directStarts.onNotExecuted()
+                machine.nextDirectCommandAt = clock.steadyMs() + timing.heartbeatLateMs
+            }
             CommandOutcome.Unanswered -> {
                 // The call may still be executed minutes later. During the pause, only the responses to heartbeats
                 // carry commands.
-                machine.unresolvedStarts.addAll(starts)
+                machine.directStarts.onUnanswered()
                 machine.nextDirectCommandAt = clock.steadyMs() + timing.workerLeaseTtlMs
             }
         }
--- a/src/main/kotlin/oxbowlug/leader/FencingTokenPropagation.kt
+++ b/src/main/kotlin/oxbowlug/leader/FencingTokenPropagation.kt
@@ -58,10 +58,10 @@
         inFlight++
         machine.nextTokenAt = now + timing.suspectAfterMs
         workers.status(endpoint) { heartbeat ->
-            if (heartbeat == null || heartbeat.machine != machine.id || heartbeat.token >= cluster.token) {
+            if (heartbeat == null || heartbeat.machine != machine.id || heartbeat.token >= cluster.tokens.first) {
                 inFlight--
             } else {
-                workers.command(endpoint, cluster.token, heartbeat.incarnation, emptyList()) { inFlight-- }
+                workers.command(endpoint, machine.issuedToken, heartbeat.incarnation, emptyList()) { inFlight-- }
             }
         }
     }
--- a/src/main/kotlin/oxbowlug/leader/LeaderTerm.kt
+++ b/src/main/kotlin/oxbowlug/leader/LeaderTerm.kt
@@ -2,6 +2,7 @@
 
 import oxbowlug.cache.StateCache
 import oxbowlug.cluster.ClusterState
+import oxbowlug.cluster.CommandBatch
 import oxbowlug.cluster.HeartbeatPosition
 import oxbowlug.commit.JobRecordWriter
 import oxbowlug.config.Settings
@@ -51,7 +52,7 @@
     private val termStartedAt = clock.steadyMs()
     val cluster =
         ClusterState(
-            leadership.token,
+            leadership.tokens,
             clock,
             timing,
             DemandForecast(settings, timing.arrivalWindowMs),
@@ -134,27 +135,30 @@
     }
 
     /**
-     * Applies a heartbeat and returns the commands for its response, to which [WorkerLeaseRenewals] adds the stops of
-     * cancelled work. Returns null if the machine or its incarnation is gone: its lease must not be renewed.
+     * Applies a heartbeat and returns the token and the commands for its response, to which [WorkerLeaseRenewals] adds
+     * the stops of cancelled work. Returns null if the machine or its incarnation is gone: its lease must not be
+     * renewed.
      */
-    fun onHeartbeat(heartbeat: WorkerHeartbeat): List<WorkerCommand>? {
+    fun onHeartbeat(heartbeat: WorkerHeartbeat): CommandBatch? {
         val machine = cluster.applyHeartbeat(heartbeat, isHeartbeat = true) ?: return null
         lastHeartbeatAt = clock.steadyMs()
         // Either the heartbeat is a late duplicate, or the lease was wrongly taken for expired. If the lease were
         // renewed, the incarnation would keep running attempts that were removed with it, and nothing would stop them.
         if (machine.lease.hasEnded(heartbeat.incarnation)) return null
-        if (!decisions.mayLead) return emptyList()
+        val renewalOnly = CommandBatch(machine.issuedToken, emptyList())
+        if (!decisions.mayLead) return renewalOnly
         val position = HeartbeatPosition(heartbeat.incarnation, heartbeat.sequence)
         // The worker discards the response to a duplicate, so no start may be recorded as sent with it.
-        if (position < machine.lastHeartbeatPosition) return emptyList()
-        val commands = checks.dropUnstoredStarts(machine, cluster.commands(machine, clock.steadyMs()))
+        if (position < machine.lastHeartbeatPosition) return renewalOnly
+        val batch = cluster.commandsInAnswer(machine, clock.steadyMs())
+        val commands = checks.dropUnstoredStarts(machine, batch.commands)
         if (position == machine.position) checks.requireStopsOfCancelledWork(heartbeat, commands)
         for (command in commands) {
             if (command !is WorkerCommand.Start) continue
             machine.attempts[command.attempt]?.markStartSentInAnswer(position, clock.steadyMs())
         }
-        CommandLog.attemptsForgotten(machine, cluster.token, commands, "answer")
-        return commands
+        CommandLog.attemptsForgotten(machine, batch.token, commands, "answer")
+        return batch.copy(commands = commands)
     }
 
     /** One periodic step. The order matters: leases are expired before machines are released and tasks are placed. */
--- a/src/main/kotlin/oxbowlug/lease/LeaseRenewalDelegate.kt
+++ b/src/main/kotlin/oxbowlug/lease/LeaseRenewalDelegate.kt
@@ -69,13 +69,13 @@
     /**
      * The delegate assigned to the zone of the worker that sent [heartbeat], once this controller has been isolated for
      * [Timing.delegateActivationMs]. Null before that, for workers outside this zone's region, and for workers that
-     * have seen a newer token than the leader's.
+     * have seen a newer token than the leader's tokens.
      */
     fun delegateFor(heartbeat: WorkerHeartbeat): Member? {
         val leadership = cache.leadership ?: return null
         val delegates = cache.delegates ?: return null
         val isInRegion = regions.areInSameRegion(heartbeat.zone, zone)
-        val isInScope = delegates.token == leadership.token && isInRegion && heartbeat.token <= leadership.token
+        val isInScope = delegates.token == leadership.token && isInRegion && heartbeat.token <= leadership.tokens.last
         return if (isInScope && isolatedMs() >= timing.delegateActivationMs) delegates.byZone[heartbeat.zone] else null
     }
 
@@ -96,6 +96,6 @@
     fun renew(heartbeat: WorkerHeartbeat): FencingToken? {
         if (delegateFor(heartbeat) != self) return null
         renewals++
-        return cache.leadership?.token
+        return cache.leadership?.tokens?.lowestAcceptedAfter(heartbeat.token)
     }
 }
--- a/src/main/kotlin/oxbowlug/record/LeadershipRecord.kt
+++ b/src/main/kotlin/oxbowlug/record/LeadershipRecord.kt
@@ -4,8 +4,10 @@
 import oxbowlug.wire.fields
 
 /**
- * The stored record of the current leader. Every change of the record increases [epoch]. The fencing token [token] is
- * the epoch at which this leader was elected; [version] is the revision at which the record was written.
+ * The stored record of the current leader. Every change of the record increases [epoch]. The fencing tokens of this
+ * leader are those from [token] to [epoch], so each leader has higher ones than those before it. Versions that use
+ * [token] alone take the next epoch for their own, and so a higher one too. [version] is the revision at which the
+ * record was written.
  */
 internal data class LeadershipRecord(
     val epoch: Long,
@@ -13,6 +15,8 @@
     val leader: Member,
     val version: Long,
 ) {
+    val tokens: FencingTokenRange get() = FencingTokenRange(token, FencingToken(epoch))
+
     fun encode(): Map<String, Any?> =
         mapOf(
             "epoch" to epoch,
--- a/src/main/kotlin/oxbowlug/scheduling/AvailableMachines.kt
+++ b/src/main/kotlin/oxbowlug/scheduling/AvailableMachines.kt
@@ -71,8 +71,8 @@
         val lastContactAt = machine.lastContactAt
         if (lastContactAt != null) {
             if (now - lastContactAt > timing.heartbeatLateMs) return null
-            // Until the worker's heartbeat carries this leader's token, it may still execute a former leader's starts.
-            return if (machine.token == cluster.token) 0.0 else MIN_DELAY_S
+            // Until the worker's heartbeat carries a token of this leader, it may still execute a former leader's starts.
+            return if (machine.token in cluster.tokens) 0.0 else MIN_DELAY_S
         }
         if (machine.listed == MachineState.RUNNING) {
             // A running machine's first heartbeat to this leader is expected within one worker lease.
--- a/src/main/kotlin/oxbowlug/timing/Timing.kt
+++ b/src/main/kotlin/oxbowlug/timing/Timing.kt
@@ -144,6 +144,9 @@
     /** How long a job avoids a machine that refused or lost one of its tasks for a reason other than a task error. */
     val refusedStartBackoffMs: Long = heartbeatMs.toLong() * 3
 
+    /** Time between two rises of a worker's fencing token within a term: each brings one more heartbeat. */
+    val tokenAdvanceIntervalMs: Long = workerLeaseTtlMs
+
     /** How long the write of a task's end is deferred, so that it is batched with later ends of the same job. */
     val deferredWriteMs: Long = heartbeatMs.toLong()
 
--- a/src/scale/kotlin/oxbowlug/standin/SimWorker.kt
+++ b/src/scale/kotlin/oxbowlug/standin/SimWorker.kt
@@ -143,6 +143,9 @@
     var interruptionNoticeS: Double? = null
     val isHung: Boolean get() = time.nowMs < hungUntil
 
+    /** Called after direct commands were executed, with what repeats them, as a network may. */
+    var onDirectCommandsExecuted: (repeat: () -> Unit) -> Unit = {}
+
     /** The last 20 heartbeats, for faults that deliver an old one again. */
     val recentHeartbeats = ArrayDeque<WorkerHeartbeat>()
 
@@ -290,17 +293,30 @@
     ) {
         whenNotHung {
             if (time.nowMs >= unresponsiveUntil) {
-                if (time.nowMs > leaseStartedAt + leaseMs) expireLease()
-                val valid = newToken >= token && forIncarnation == incarnation
+                val valid = executeDirect(newToken, forIncarnation, commands)
                 if (valid) {
-                    updateToken(newToken)
-                    commands.forEach(::execute)
+                    onDirectCommandsExecuted {
+                        whenNotHung {
+                            if (time.nowMs >= unresponsiveUntil) executeDirect(newToken, forIncarnation, commands)
+                        }
+                    }
                 }
                 answer(newHeartbeat(), valid)
             }
         }
     }
 
+    /** Returns whether token and incarnation were valid; otherwise nothing is executed. */
+    private fun executeDirect(newToken: FencingToken, forIncarnation: Long, commands: List<WorkerCommand>): Boolean {
+        if (time.nowMs > leaseStartedAt + leaseMs) expireLease()
+        val valid = newToken >= token && forIncarnation == incarnation
+        if (valid) {
+            updateToken(newToken)
+            commands.forEach(::execute)
+        }
+        return valid
+    }
+
     /** Answers a status query. [answer] is not called while the worker is unresponsive. */
     fun status(answer: (WorkerHeartbeat) -> Unit) =
         whenNotHung { if (time.nowMs >= unresponsiveUntil) answer(newHeartbeat()) }
--- a/src/test/kotlin/oxbowlug/cluster/ClusterStateTest.kt
+++ b/src/test/kotlin/oxbowlug/cluster/ClusterStateTest.kt
@@ -13,6 +13,7 @@
 import oxbowlug.forecast.DemandForecast
 import oxbowlug.port.CloudPort
 import oxbowlug.port.RentalOutcome
+import oxbowlug.record.FencingTokenRange
 import oxbowlug.record.JobRecord
 import oxbowlug.record.Member
 import oxbowlug.record.Phase
@@ -57,8 +58,9 @@
     private val settings = SettingsFile.parse(SampleSettings.valid, Policy())
     private val timing = Timing(settings, Random(1))
     private val token = FencingToken(5)
+    private val tokens = FencingTokenRange(token, FencingToken(9))
     private val cluster =
-        ClusterState(token, clock, timing, DemandForecast(settings, 60_000), invariants = failingInvariants)
+        ClusterState(tokens, clock, timing, DemandForecast(settings, 60_000), invariants = failingInvariants)
     private val machine = MachineId("host-000001")
     private val spec = JobSpecCodec.decode(JobSpecCodecTest.valid())
     private val attempt = AttemptId(TaskId(spec.id, 0), 1)
@@ -115,7 +117,9 @@
         cause: ExitCause? = null,
     ) = TaskStatus(attempt, state, cause, false)
 
-    private fun commands() = cluster.commands(cluster.machines.getValue(machine), clock.now)
+    private fun answer() = cluster.commandsInAnswer(cluster.machines.getValue(machine), clock.now)
+
+    private fun commands() = answer().commands
 
     private val hasAttempt: Boolean get() = 0 in job.attempts
 
@@ -124,7 +128,7 @@
         var state = DependencyState.WAITING
         val dependencyCluster =
             ClusterState(
-                token,
+                tokens,
                 clock,
                 timing,
                 DemandForecast(settings, 60_000),
@@ -167,7 +171,7 @@
             val team = Team(spec.team, 0.0, 1e9, 0.0, spec.gpus * case.maxGpus)
             val quotaState =
                 ClusterState(
-                    token,
+                    tokens,
                     clock,
                     timing,
                     DemandForecast(settings, 60_000),
@@ -197,7 +201,7 @@
             val host = quotaState.machines.getValue(machine)
             assertEquals(
                 case.isStarted,
-                start in quotaState.commands(host, clock.now),
+                start in quotaState.commandsInAnswer(host, clock.now).commands,
                 "quota of ${case.maxGpus} tasks, earlier token",
             )
             quotaState.applyHeartbeat(heartbeat(2, tasks = listOf(other)), isHeartbeat = true)
@@ -273,7 +277,8 @@
         applyStored(record(), 7)
         receive(heartbeat(1))
         val host = cluster.machines.getValue(machine)
-        host.unresolvedStarts.add(attempt)
+        host.directStarts.onSent(listOf(attempt), token, 1)
+        host.directStarts.onUnanswered()
         applyStored(record(phase = Phase.CANCELLED), 8)
         receive(heartbeat(2))
         assertTrue(hasAttempt)
@@ -284,9 +289,84 @@
         )
         receive(heartbeat(3, tasks = listOf(task(TaskState.EXITED, ExitCause.STOPPED))))
         assertFalse(hasAttempt)
-        assertEquals(emptyList<WorkerCommand>(), commands(), "not forgotten while a start may be in flight")
+        assertEquals(CommandBatch(token, emptyList()), answer(), "the stored record still has the attempt")
+        job.completeWrite(job.startWrite("w2"), 9)
+        assertEquals(
+            CommandBatch(FencingToken(6), listOf(WorkerCommand.Forget(attempt))),
+            answer(),
+            "forgotten only with a token that makes a start in flight invalid",
+        )
         receive(heartbeat(1, incarnation = 2))
-        assertEquals(0, host.unresolvedStarts.size)
+        assertEquals(0, host.directStarts.size)
+    }
+
+    /** The worker has executed a direct start of the attempt, which then exited and is in no stored record. */
+    private fun exitAfterDirectStart(cause: ExitCause): Machine {
+        applyStored(record(), 7)
+        receive(heartbeat(1))
+        val host = cluster.machines.getValue(machine)
+        host.directStarts.onSent(listOf(attempt), token, 1)
+        host.directStarts.onExecuted()
+        receive(heartbeat(2, tasks = listOf(task(TaskState.EXITED, cause))))
+        job.completeWrite(job.startWrite("w2"), 8)
+        return host
+    }
+
+    @Test
+    fun `an attempt with an executed direct start is forgotten only with a token that makes its repeats invalid`() {
+        for (cause in ExitCause.entries) {
+            val fresh = ClusterStateTest()
+            val host = fresh.exitAfterDirectStart(cause)
+            val forgets = listOf(WorkerCommand.Forget(attempt))
+            assertEquals(emptyList<WorkerCommand>(), fresh.cluster.directCommands(host, fresh.clock.now), cause.name)
+            assertEquals(CommandBatch(FencingToken(6), forgets), fresh.answer(), cause.name)
+            assertEquals(CommandBatch(FencingToken(6), forgets), fresh.answer(), "$cause: the first answer was lost")
+            assertEquals(forgets, fresh.cluster.directCommands(host, fresh.clock.now), "$cause: sent with the new token")
+        }
+    }
+
+    @Test
+    fun `a worker gets a higher token once a lease, and never one of the next leader`() {
+        val host = exitAfterDirectStart(ExitCause.DONE)
+        val exited = task(TaskState.EXITED, ExitCause.DONE)
+        var sequence = 2L
+        val issued = ArrayList<Long>()
+        while (issued.size < 100) {
+            receive(heartbeat(++sequence, shownToken = host.issuedToken, tasks = listOf(exited)))
+            host.directStarts.onSent(listOf(attempt), host.issuedToken, 1)
+            host.directStarts.onExecuted()
+            issued.add(answer().token.value)
+            clock.now += timing.tokenAdvanceIntervalMs / 2
+        }
+        assertEquals(listOf(6L, 7L, 8L, 9L), issued.distinct())
+        assertEquals(listOf(6L, 6L, 7L, 7L, 8L, 8L, 9L), issued.take(7))
+        assertEquals(CommandBatch(FencingToken(9), emptyList()), answer(), "retained, since no token is left")
+    }
+
+    @Test
+    fun `a direct command in flight delays a higher token, unless exited attempts fill the heartbeats`() {
+        val host = exitAfterDirectStart(ExitCause.DONE)
+        host.isDirectCommandInFlight = true
+        assertEquals(CommandBatch(token, emptyList()), answer())
+        val many =
+            (1..MANY_EXITED).map {
+                val exited = AttemptId(TaskId(spec.id, it), 1)
+                host.directStarts.onSent(listOf(exited), token, 1)
+                host.directStarts.onExecuted()
+                TaskStatus(exited, TaskState.EXITED, ExitCause.DONE, false)
+            }
+        receive(heartbeat(3, tasks = many))
+        assertEquals(CommandBatch(FencingToken(6), many.map { WorkerCommand.Forget(it.attempt) }), answer())
+    }
+
+    @Test
+    fun `a start that the worker rejected or that was not sent needs no higher token`() {
+        val host = exitAfterDirectStart(ExitCause.FULL)
+        receive(heartbeat(3, shownToken = FencingToken(6), tasks = listOf(task(TaskState.EXITED, ExitCause.FULL))))
+        assertEquals(0, host.directStarts.size, "the worker has seen a higher token since")
+        host.directStarts.onSent(listOf(attempt), FencingToken(6), 1)
+        host.directStarts.onNotExecuted()
+        assertEquals(CommandBatch(FencingToken(6), listOf(WorkerCommand.Forget(attempt))), answer())
     }
 
     @Test
@@ -496,4 +576,9 @@
 
         override fun list(done: (List<ListedMachine>?) -> Unit) = Unit
     }
+
+    private companion object {
+        /** More entries than exited attempts may take of a heartbeat. */
+        const val MANY_EXITED = 200
+    }
 }
--- a/src/test/kotlin/oxbowlug/commit/JobRecordWriterTest.kt
+++ b/src/test/kotlin/oxbowlug/commit/JobRecordWriterTest.kt
@@ -11,6 +11,7 @@
 import oxbowlug.forecast.DemandForecast
 import oxbowlug.port.CommitOutcome
 import oxbowlug.record.DataFormat
+import oxbowlug.record.FencingTokenRange
 import oxbowlug.record.JobRecord
 import oxbowlug.record.Keys
 import oxbowlug.record.LeadershipRecord
@@ -71,7 +72,7 @@
     }
 
     private val cluster =
-        ClusterState(FencingToken(1), clock, timing, DemandForecast(settings, 60_000), invariants = failingInvariants)
+        ClusterState(FencingTokenRange.after(0), clock, timing, DemandForecast(settings, 60_000), invariants = failingInvariants)
     private lateinit var writer: JobRecordWriter
 
     private fun put(
--- a/src/test/kotlin/oxbowlug/election/LeaderElectionTest.kt
+++ b/src/test/kotlin/oxbowlug/election/LeaderElectionTest.kt
@@ -12,6 +12,7 @@
 import oxbowlug.port.CommitOutcome
 import oxbowlug.port.LeaseRenewalOutcome
 import oxbowlug.port.StatePort
+import oxbowlug.record.FencingTokenRange
 import oxbowlug.record.Keys
 import oxbowlug.record.LeadershipRecord
 import oxbowlug.record.Member
@@ -165,7 +166,7 @@
         time.runUntil(1000 + leaseMs + 1500)
         val role = second.role
         assertTrue(
-            role is LeadershipRole.Leader && role.leadership.epoch == 2L && role.leadership.token.value == 2L,
+            role is LeadershipRole.Leader && role.leadership.tokens == FencingTokenRange.after(FencingTokenRange.SIZE),
             "$role",
         )
     }
@@ -251,7 +252,7 @@
         }
         assertTrue(second.role is LeadershipRole.Leader)
         assertTrue(first.role is LeadershipRole.RenewalOnly)
-        first.observeEpoch(2, Member("n1", "y"))
+        first.observeEpoch(FencingTokenRange.SIZE * 2, Member("n1", "y"))
         assertEquals(LeadershipRole.Follower(Member("n1", "y")), first.role, "the former leader redirects workers")
     }
 
@@ -259,7 +260,9 @@
     fun `a worker's newer token alone ends the leader role`() {
         val first = Node("n0", "x")
         time.runUntil(500)
-        first.observeEpoch(7, null)
+        first.observeEpoch(FencingTokenRange.SIZE, null)
+        assertTrue(first.role is LeadershipRole.Leader, "the token is one of its own")
+        first.observeEpoch(FencingTokenRange.SIZE + 1, null)
         assertEquals(LeadershipRole.Unknown, first.role)
     }
 }
--- a/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
+++ b/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
@@ -14,6 +14,7 @@
 import oxbowlug.plan.Snapshot
 import oxbowlug.port.CloudPort
 import oxbowlug.port.RentalOutcome
+import oxbowlug.record.FencingTokenRange
 import oxbowlug.record.JobRecord
 import oxbowlug.record.Member
 import oxbowlug.record.Phase
@@ -29,7 +30,6 @@
 import oxbowlug.wire.Cbor
 import oxbowlug.wire.ClassName
 import oxbowlug.wire.CloudCodec
-import oxbowlug.wire.FencingToken
 import oxbowlug.wire.JobId
 import oxbowlug.wire.JobKind
 import oxbowlug.wire.JobSpecCodec
@@ -65,7 +65,7 @@
         val timing = Timing(settings, Random(1))
         val cluster =
             ClusterState(
-                FencingToken(1),
+                FencingTokenRange.after(0),
                 clock,
                 timing,
                 DemandForecast(settings, timing.arrivalWindowMs),
@@ -123,7 +123,7 @@
         fun bootMachines() {
             for (id in cluster.machines.keys.toList()) {
                 val heartbeat =
-                    WorkerHeartbeat(id, "10.1.0.1:9000", type.name, zone, false, 1, 1, cluster.token, null, emptyList())
+                    WorkerHeartbeat(id, "10.1.0.1:9000", type.name, zone, false, 1, 1, cluster.tokens.first, null, emptyList())
                 cluster.applyHeartbeat(heartbeat, isHeartbeat = true)
             }
         }
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -19,6 +19,7 @@
 import oxbowlug.port.WorkerPort
 import oxbowlug.record.Member
 import oxbowlug.standin.HeartbeatTarget
+import oxbowlug.standin.RequestRepeats
 import oxbowlug.standin.SimCloud
 import oxbowlug.standin.SimStore
 import oxbowlug.standin.SimWorker
@@ -96,6 +97,7 @@
     private val store: SimStore,
     private val cloud: SimCloud,
     private val activeFaults: ActiveFaults,
+    private val repeats: RequestRepeats,
     private val workerAt: (Address) -> SimWorker?,
     private val peers: () -> List<SimNode>,
 ) : HeartbeatTarget {
@@ -208,6 +210,7 @@
         onDelivery: (Controller) -> Unit,
     ) {
         if (!reaches(peer)) return
+        repeats.onExecuted { if (reaches(peer)) peer.core?.let(onDelivery) }
         val until = linkStalledUntil[peer] ?: 0L
         if (activeFaults.peerLinkStalls > 0.0 && time.nowMs >= until && time.chance(activeFaults.peerLinkStalls)) {
             linkStalledUntil[peer] = time.nowMs + time.between(2_000, 20_000)
@@ -326,6 +329,7 @@
                     complete(1, ifUnreachable, done)
                 } else {
                     val outcome = execute()
+                    repeats.onExecuted { if (isReachable()) execute() }
                     val isAnswerLost = time.chance(activeFaults.lossProbability)
                     complete(
                         if (isAnswerLost) TIMEOUT_MS else time.between(1, 5),
@@ -368,6 +372,7 @@
             done: (CommitOutcome) -> Unit,
         ) = time.after(time.between(1, 5)) {
             val outcome = if (store.down) CommitOutcome.Refused else store.commit(transaction)
+            repeats.onExecuted { if (!store.down) store.commit(transaction) }
             complete(time.between(50, 1_500), outcome, done)
         }
 
--- a/src/test/kotlin/oxbowlug/sim/Simulation.kt
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -16,6 +16,7 @@
 import oxbowlug.request.UserResponse
 import oxbowlug.standin.HeartbeatPacing
 import oxbowlug.standin.InvariantChecker
+import oxbowlug.standin.RequestRepeats
 import oxbowlug.standin.SimCloud
 import oxbowlug.standin.SimJobs
 import oxbowlug.standin.SimStore
@@ -78,6 +79,7 @@
     val time = VirtualTime(seed)
     private val pacing = HeartbeatPacing.Fixed(parameters.heartbeatIntervalMs)
     val activeFaults = ActiveFaults()
+    val repeats = RequestRepeats(time, seed)
     val zones = parameters.zones.map(::Zone)
     private val types =
         listOf(
@@ -94,7 +96,7 @@
         ProgressChecks(time, checker, { cloud.workers }, parameters.teamLimits, parameters.faultFreeFromMs)
     val nodes: List<SimNode> =
         List(parameters.nodes) { index ->
-            SimNode(time, settings(index), store, cloud, activeFaults, ::workerAt, ::peers)
+            SimNode(time, settings(index), store, cloud, activeFaults, repeats, ::workerAt, ::peers)
         }
     private val runMs = HashMap<String, Long>()
     private var submittedCount = 0
@@ -137,6 +139,7 @@
         zone: Zone,
         spot: Boolean,
     ) = SimWorker(time, this, { nodes }, id, type, zone, spot, parameters.leaseMs, pacing, ::injectDuplicates)
+        .also { it.onDirectCommandsExecuted = repeats::onExecuted }
 
     /** Heartbeats to deliver again after the next change of leader. */
     private val heldHeartbeats = ArrayList<WorkerHeartbeat>()
