--- a/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
+++ b/src/main/kotlin/oxbowlug/api/ServiceMetrics.kt
@@ -76,6 +76,8 @@
         gauges["rentals.pending.requests"] = { status.pendingRentalRequests }
         gauges["rentals.pending.machines"] = { status.pendingRentalMachines }
         gauges["rentals.requested.machines"] = { status.requestedMachines }
+        gauges["direct.starts"] = { status.directStarts }
+        gauges["token.advances"] = { status.tokenAdvances }
         gauges["heap.used.bytes"] = { HeapUsage.usedBytes }
         gauges["heap.max.bytes"] = { HeapUsage.maxBytes }
         gauges["cancellations.open"] = { status.openCancellations }
--- a/src/main/kotlin/oxbowlug/cluster/ClusterState.kt
+++ b/src/main/kotlin/oxbowlug/cluster/ClusterState.kt
@@ -5,10 +5,11 @@
 import oxbowlug.cache.DependencyState
 import oxbowlug.cache.StateCache
 import oxbowlug.config.Team
+import oxbowlug.fencing.CommandBatch
+import oxbowlug.fencing.FencingTokenRange
 import oxbowlug.forecast.DemandForecast
 import oxbowlug.invariant.Invariants
 import oxbowlug.port.Clock
-import oxbowlug.record.FencingTokenRange
 import oxbowlug.timing.Timing
 import oxbowlug.wire.ImageName
 import oxbowlug.wire.JobId
@@ -145,7 +146,7 @@
         now: Long,
     ): CommandBatch {
         val batch = workerCommands.inAnswer(machine, now)
-        machine.onTokenIssued(batch.token, now, timing.tokenAdvanceIntervalMs)
+        machine.issuedToken.raiseTo(batch.token, now, timing.tokenAdvanceIntervalMs)
         return batch
     }
 
--- a/src/main/kotlin/oxbowlug/cluster/ForgetCommands.kt
+++ b/src/main/kotlin/oxbowlug/cluster/ForgetCommands.kt
@@ -1,6 +1,7 @@
 package oxbowlug.cluster
 
-import oxbowlug.record.FencingTokenRange
+import oxbowlug.fencing.CommandBatch
+import oxbowlug.fencing.FencingTokenRange
 import oxbowlug.timing.Timing
 import oxbowlug.wire.AttemptId
 import oxbowlug.wire.FencingToken
@@ -22,7 +23,7 @@
 ) {
     /** The attempts that the worker may forget without a higher token. */
     fun underIssuedToken(machine: Machine): List<WorkerCommand.Forget> =
-        exited(machine).filter { mayForgetUnder(machine, it, machine.issuedToken) }.map(WorkerCommand::Forget)
+        exited(machine).filter { mayForgetUnder(machine, it, machine.issuedToken.value) }.map(WorkerCommand::Forget)
 
     /** The attempts that the worker may forget by an answer to its heartbeat, and the token of this answer. */
     fun inAnswer(
@@ -30,10 +31,10 @@
         now: Long,
     ): CommandBatch {
         val exited = exited(machine)
-        val retained = exited.filterNot { mayForgetUnder(machine, it, machine.issuedToken) }
-        val advanced = if (isAdvanceDue(machine, retained, now)) tokens.next(machine.issuedToken) else null
+        val retained = exited.filterNot { mayForgetUnder(machine, it, machine.issuedToken.value) }
+        val advanced = if (isAdvanceDue(machine, retained, now)) tokens.next(machine.issuedToken.value) else null
         val forgotten = if (advanced == null) exited - retained.toSet() else exited
-        return CommandBatch(advanced ?: machine.issuedToken, forgotten.map(WorkerCommand::Forget))
+        return CommandBatch(advanced ?: machine.issuedToken.value, forgotten.map(WorkerCommand::Forget))
     }
 
     private fun exited(machine: Machine): List<AttemptId> =
@@ -56,7 +57,7 @@
         if (retained.isEmpty()) return false
         if (retained.sumOf { ReportSize.taskBytes(it.task.job) } > MAX_RETAINED_BYTES) return true
         // The worker would reject a direct command in flight, and its starts would be delayed.
-        return !machine.isDirectCommandInFlight && now >= machine.nextTokenAdvanceAt
+        return !machine.isDirectCommandInFlight && now >= machine.issuedToken.nextAdvanceAt
     }
 
     private companion object {
--- a/src/main/kotlin/oxbowlug/cluster/HeartbeatReconciliation.kt
+++ b/src/main/kotlin/oxbowlug/cluster/HeartbeatReconciliation.kt
@@ -64,7 +64,7 @@
         machine.position = position
         machine.token = heartbeat.token
         if (heartbeat.token in cluster.tokens) {
-            machine.onTokenIssued(heartbeat.token, now, timing.tokenAdvanceIntervalMs)
+            machine.issuedToken.raiseTo(heartbeat.token, now, timing.tokenAdvanceIntervalMs)
         }
         machine.lastContactAt = now
         machine.isLeaseExpired = false
--- a/src/main/kotlin/oxbowlug/cluster/Machine.kt
+++ b/src/main/kotlin/oxbowlug/cluster/Machine.kt
@@ -1,8 +1,10 @@
 package oxbowlug.cluster
 
 import oxbowlug.config.Address
+import oxbowlug.fencing.DirectStarts
+import oxbowlug.fencing.FencingTokenRange
+import oxbowlug.fencing.IssuedToken
 import oxbowlug.lease.WorkerLease
-import oxbowlug.record.FencingTokenRange
 import oxbowlug.resource.Resources
 import oxbowlug.resource.resources
 import oxbowlug.wire.AttemptId
@@ -40,13 +42,7 @@
     /** The fencing token in the worker's newest message: the highest that the worker had seen by then. */
     var token = FencingToken(0)
 
-    /** The fencing token that answers and commands to this worker have; it never falls within a term. */
-    var issuedToken = firstToken
-        private set
-
-    /** From when the worker may be given a higher token to let it forget attempts. */
-    var nextTokenAdvanceAt = Long.MIN_VALUE
-        private set
+    val issuedToken = IssuedToken(firstToken)
     var tasks: Map<AttemptId, TaskStatus> = emptyMap()
     var lastContactAt: Long? = null
 
@@ -82,17 +78,6 @@
     var nextDirectCommandAt = 0L
     val directStarts = DirectStarts()
 
-    /** Notes that [token] is sent to the worker. If it is higher than before, the next rise waits for [intervalMs]. */
-    fun onTokenIssued(
-        token: FencingToken,
-        now: Long,
-        intervalMs: Long,
-    ) {
-        if (token <= issuedToken) return
-        issuedToken = token
-        nextTokenAdvanceAt = now + intervalMs
-    }
-
     /** Notes that a task with [image] runs here. */
     fun onImageUsed(image: ImageName) {
         images.remove(image)
--- a/src/main/kotlin/oxbowlug/cluster/WorkerCommands.kt
+++ b/src/main/kotlin/oxbowlug/cluster/WorkerCommands.kt
@@ -1,5 +1,6 @@
 package oxbowlug.cluster
 
+import oxbowlug.fencing.CommandBatch
 import oxbowlug.record.Phase
 import oxbowlug.timing.Timing
 import oxbowlug.wire.TaskState
--- a/src/main/kotlin/oxbowlug/controller/ControllerStatus.kt
+++ b/src/main/kotlin/oxbowlug/controller/ControllerStatus.kt
@@ -36,6 +36,12 @@
     val pendingRentalMachines: Int get() = terms.latest?.pendingRentals?.sumOf { it.request.count } ?: 0
     val requestedMachines: Long get() = terms.latest?.requestedMachines ?: 0
 
+    /** Starts in direct commands of this leader that their workers would execute once more. */
+    val directStarts: Int get() = terms.latest?.directStarts ?: 0
+
+    /** How often this leader gave one of the present workers a higher fencing token. */
+    val tokenAdvances: Long get() = terms.latest?.tokenAdvances ?: 0
+
     /** Changes that the leader's token bucket allows at once. */
     val writesLeft: Double get() = limits.leaderWrites.available(clock.steadyMs())
     val cloudCallsLeft: Double get() = limits.cloudCalls.available(clock.steadyMs())
--- a/src/main/kotlin/oxbowlug/election/LeaderElection.kt
+++ b/src/main/kotlin/oxbowlug/election/LeaderElection.kt
@@ -2,12 +2,12 @@
 
 import org.slf4j.LoggerFactory
 import oxbowlug.cache.StateCache
+import oxbowlug.fencing.FencingTokenRange
 import oxbowlug.port.Clock
 import oxbowlug.port.CommitOutcome
 import oxbowlug.port.LeaseRenewalOutcome
 import oxbowlug.port.StatePort
 import oxbowlug.record.DataFormat
-import oxbowlug.record.FencingTokenRange
 import oxbowlug.record.Keys
 import oxbowlug.record.LeadershipRecord
 import oxbowlug.record.Member
--- a/src/main/kotlin/oxbowlug/cluster/CommandBatch.kt
+++ b/src/main/kotlin/oxbowlug/fencing/CommandBatch.kt
@@ -1,4 +1,4 @@
-package oxbowlug.cluster
+package oxbowlug.fencing
 
 import oxbowlug.wire.FencingToken
 import oxbowlug.wire.WorkerCommand
--- a/src/main/kotlin/oxbowlug/cluster/DirectStarts.kt
+++ b/src/main/kotlin/oxbowlug/fencing/DirectStarts.kt
@@ -1,4 +1,4 @@
-package oxbowlug.cluster
+package oxbowlug.fencing
 
 import oxbowlug.wire.AttemptId
 import oxbowlug.wire.FencingToken
--- a/src/main/kotlin/oxbowlug/record/FencingTokenRange.kt
+++ b/src/main/kotlin/oxbowlug/fencing/FencingTokenRange.kt
@@ -1,4 +1,4 @@
-package oxbowlug.record
+package oxbowlug.fencing
 
 import oxbowlug.wire.FencingToken
 
--- a/src/main/kotlin/oxbowlug/leader/CommandLog.kt
+++ b/src/main/kotlin/oxbowlug/leader/CommandLog.kt
@@ -24,11 +24,11 @@
             "direct commands sent: machine={} incarnation={} token={} starts={} stops={}",
             machine.id,
             machine.position.incarnation,
-            machine.issuedToken,
+            machine.issuedToken.value,
             commands.filterIsInstance<WorkerCommand.Start>().map { it.attempt },
             commands.filterIsInstance<WorkerCommand.Stop>().map { it.attempt },
         )
-        attemptsForgotten(machine, machine.issuedToken, commands, "direct")
+        attemptsForgotten(machine, machine.issuedToken.value, commands, "direct")
     }
 
     /** The direct commands to [machine] had [outcome]. */
--- a/src/main/kotlin/oxbowlug/leader/DirectCommands.kt
+++ b/src/main/kotlin/oxbowlug/leader/DirectCommands.kt
@@ -55,10 +55,10 @@
         machine.isDirectCommandInFlight = true
         val starts = commands.filterIsInstance<WorkerCommand.Start>().map { it.attempt }
         val incarnation = machine.position.incarnation
-        machine.directStarts.onSent(starts, machine.issuedToken, incarnation)
+        machine.directStarts.onSent(starts, machine.issuedToken.value, incarnation)
         for (attempt in starts) machine.attempts[attempt]?.markStartSent(now)
         CommandLog.directCommandsSent(machine, commands)
-        workers.command(endpoint, machine.issuedToken, incarnation, commands) { outcome ->
+        workers.command(endpoint, machine.issuedToken.value, incarnation, commands) { outcome ->
             CommandLog.directCommandsEnded(machine, starts, outcome)
             onOutcome(machine, outcome)
         }
--- a/src/main/kotlin/oxbowlug/leader/FencingTokenPropagation.kt
+++ b/src/main/kotlin/oxbowlug/leader/FencingTokenPropagation.kt
@@ -61,7 +61,7 @@
             if (heartbeat == null || heartbeat.machine != machine.id || heartbeat.token >= cluster.tokens.first) {
                 inFlight--
             } else {
-                workers.command(endpoint, machine.issuedToken, heartbeat.incarnation, emptyList()) { inFlight-- }
+                workers.command(endpoint, machine.issuedToken.value, heartbeat.incarnation, emptyList()) { inFlight-- }
             }
         }
     }
--- a/src/main/kotlin/oxbowlug/leader/LeaderTerm.kt
+++ b/src/main/kotlin/oxbowlug/leader/LeaderTerm.kt
@@ -2,10 +2,10 @@
 
 import oxbowlug.cache.StateCache
 import oxbowlug.cluster.ClusterState
-import oxbowlug.cluster.CommandBatch
 import oxbowlug.cluster.HeartbeatPosition
 import oxbowlug.commit.JobRecordWriter
 import oxbowlug.config.Settings
+import oxbowlug.fencing.CommandBatch
 import oxbowlug.forecast.DemandForecast
 import oxbowlug.invariant.Invariants
 import oxbowlug.lease.LeaseRenewalDelegates
@@ -88,6 +88,8 @@
     val lastPlanSize: PlanSize get() = planning.lastSize
     val pendingRentals: List<PendingRental> get() = scaler.pendingRentals
     val requestedMachines: Long get() = scaler.requestedMachines
+    val directStarts: Int get() = cluster.machines.values.sumOf { it.directStarts.size }
+    val tokenAdvances: Long get() = cluster.machines.values.sumOf { it.issuedToken.advances }
 
     init {
         cache.forEachActive { id, stored -> stored.value?.let { cluster.applyJob(id, stored, it) } }
@@ -145,7 +147,7 @@
         // Either the heartbeat is a late duplicate, or the lease was wrongly taken for expired. If the lease were
         // renewed, the incarnation would keep running attempts that were removed with it, and nothing would stop them.
         if (machine.lease.hasEnded(heartbeat.incarnation)) return null
-        val renewalOnly = CommandBatch(machine.issuedToken, emptyList())
+        val renewalOnly = CommandBatch(machine.issuedToken.value, emptyList())
         if (!decisions.mayLead) return renewalOnly
         val position = HeartbeatPosition(heartbeat.incarnation, heartbeat.sequence)
         // The worker discards the response to a duplicate, so no start may be recorded as sent with it.
--- a/src/main/kotlin/oxbowlug/record/LeadershipRecord.kt
+++ b/src/main/kotlin/oxbowlug/record/LeadershipRecord.kt
@@ -1,5 +1,6 @@
 package oxbowlug.record
 
+import oxbowlug.fencing.FencingTokenRange
 import oxbowlug.wire.FencingToken
 import oxbowlug.wire.fields
 
--- a/src/test/kotlin/oxbowlug/architecture/PackageGraphTest.kt
+++ b/src/test/kotlin/oxbowlug/architecture/PackageGraphTest.kt
@@ -76,6 +76,7 @@
                 "commit",
                 "controller",
                 "election",
+                "fencing",
                 "forecast",
                 "invariant",
                 "leader",
--- a/src/test/kotlin/oxbowlug/cluster/ClusterStateTest.kt
+++ b/src/test/kotlin/oxbowlug/cluster/ClusterStateTest.kt
@@ -10,10 +10,11 @@
 import oxbowlug.config.Policy
 import oxbowlug.config.SettingsFile
 import oxbowlug.config.Team
+import oxbowlug.fencing.CommandBatch
+import oxbowlug.fencing.FencingTokenRange
 import oxbowlug.forecast.DemandForecast
 import oxbowlug.port.CloudPort
 import oxbowlug.port.RentalOutcome
-import oxbowlug.record.FencingTokenRange
 import oxbowlug.record.JobRecord
 import oxbowlug.record.Member
 import oxbowlug.record.Phase
@@ -332,8 +333,8 @@
         var sequence = 2L
         val issued = ArrayList<Long>()
         while (issued.size < 100) {
-            receive(heartbeat(++sequence, shownToken = host.issuedToken, tasks = listOf(exited)))
-            host.directStarts.onSent(listOf(attempt), host.issuedToken, 1)
+            receive(heartbeat(++sequence, shownToken = host.issuedToken.value, tasks = listOf(exited)))
+            host.directStarts.onSent(listOf(attempt), host.issuedToken.value, 1)
             host.directStarts.onExecuted()
             issued.add(answer().token.value)
             clock.now += timing.tokenAdvanceIntervalMs / 2
--- a/src/test/kotlin/oxbowlug/commit/JobRecordWriterTest.kt
+++ b/src/test/kotlin/oxbowlug/commit/JobRecordWriterTest.kt
@@ -8,10 +8,10 @@
 import oxbowlug.cluster.ClusterState
 import oxbowlug.config.SettingsFile
 import oxbowlug.config.WriteLimits
+import oxbowlug.fencing.FencingTokenRange
 import oxbowlug.forecast.DemandForecast
 import oxbowlug.port.CommitOutcome
 import oxbowlug.record.DataFormat
-import oxbowlug.record.FencingTokenRange
 import oxbowlug.record.JobRecord
 import oxbowlug.record.Keys
 import oxbowlug.record.LeadershipRecord
--- a/src/test/kotlin/oxbowlug/election/LeaderElectionTest.kt
+++ b/src/test/kotlin/oxbowlug/election/LeaderElectionTest.kt
@@ -8,11 +8,11 @@
 import oxbowlug.cache.StateCache
 import oxbowlug.cache.StateCacheListener
 import oxbowlug.config.SettingsFile
+import oxbowlug.fencing.FencingTokenRange
 import oxbowlug.port.ChangesOutcome
 import oxbowlug.port.CommitOutcome
 import oxbowlug.port.LeaseRenewalOutcome
 import oxbowlug.port.StatePort
-import oxbowlug.record.FencingTokenRange
 import oxbowlug.record.Keys
 import oxbowlug.record.LeadershipRecord
 import oxbowlug.record.Member
--- a/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
+++ b/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
@@ -8,13 +8,13 @@
 import oxbowlug.cache.CachedJob
 import oxbowlug.cluster.ClusterState
 import oxbowlug.config.SettingsFile
+import oxbowlug.fencing.FencingTokenRange
 import oxbowlug.forecast.DemandForecast
 import oxbowlug.plan.Plan
 import oxbowlug.plan.Planner
 import oxbowlug.plan.Snapshot
 import oxbowlug.port.CloudPort
 import oxbowlug.port.RentalOutcome
-import oxbowlug.record.FencingTokenRange
 import oxbowlug.record.JobRecord
 import oxbowlug.record.Member
 import oxbowlug.record.Phase
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -4,6 +4,7 @@
 import oxbowlug.config.Settings
 import oxbowlug.controller.Controller
 import oxbowlug.controller.ControllerEvent
+import oxbowlug.controller.ControllerStatus
 import oxbowlug.lease.HeartbeatResponse
 import oxbowlug.port.CancellationNotice
 import oxbowlug.port.ChangesOutcome
@@ -122,6 +123,9 @@
     val isUnreachableByUsers: Boolean get() = isolated || withoutUsers || activeFaults.arePartitioned(zone, null)
     val isUp: Boolean get() = core != null
 
+    /** Published values of the running controller; null while it is down. */
+    val status: ControllerStatus? get() = core?.status
+
     /** Planning rounds since the simulation began, over all restarts. */
     var plans = 0L
         private set
--- a/src/test/kotlin/oxbowlug/sim/Simulation.kt
+++ b/src/test/kotlin/oxbowlug/sim/Simulation.kt
@@ -62,6 +62,8 @@
     val zones: List<String> = listOf("a", "b"),
     /** From this time on no fault is active, and [ProgressChecks] checks that jobs make progress. */
     val faultFreeFromMs: Long = 125_000,
+    /** Workers pace their heartbeats as the published protocol specifies, instead of at a fixed interval. */
+    val hasProtocolPacing: Boolean = false,
     /** Length of the state service's history of changes: a client that asks for older ones has to resync in full. */
     val retainedChanges: Int = 10_000,
     val objectives: List<Objective> = emptyList(),
@@ -77,7 +79,13 @@
     private val parameters: SimulationParameters = SimulationParameters(),
 ) : SimJobs {
     val time = VirtualTime(seed)
-    private val pacing = HeartbeatPacing.Fixed(parameters.heartbeatIntervalMs)
+    private val pacing =
+        parameters.heartbeatIntervalMs.let {
+            if (parameters.hasProtocolPacing) HeartbeatPacing.Protocol(it) else HeartbeatPacing.Fixed(it)
+        }
+
+    /** Called with each heartbeat that a worker sends. */
+    var onHeartbeatSent: (WorkerHeartbeat) -> Unit = {}
     val activeFaults = ActiveFaults()
     val repeats = RequestRepeats(time, seed)
     val zones = parameters.zones.map(::Zone)
@@ -146,6 +154,7 @@
     private var lastLeaderToken: Any? = null
 
     private fun injectDuplicates(heartbeat: WorkerHeartbeat) {
+        onHeartbeatSent(heartbeat)
         if (time.chance(activeFaults.duplicateHeartbeats)) {
             time.after(time.between(2_000, parameters.leaseMs * 2)) {
                 nodes[time.random.nextInt(nodes.size)].receive(heartbeat) {}
