--- a/src/scale/kotlin/oxbowlug/scale/CloudServer.kt
+++ b/src/scale/kotlin/oxbowlug/scale/CloudServer.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpMethod
 import oxbowlug.port.RentalOutcome
+import oxbowlug.standin.RequestRepeats
 import oxbowlug.standin.SimCloud
 import oxbowlug.standin.VirtualTime
 import oxbowlug.wire.CloudCodec
@@ -23,6 +24,7 @@
     private val network: Network,
     private val traffic: Traffic,
     rps: Double,
+    private val repeats: RequestRepeats,
 ) {
     private val rateLimiter = RateLimiter(time, rps, BURST_S)
 
@@ -51,7 +53,9 @@
             "/rentals" ->
                 if (exchange.request.method() == HttpMethod.POST) rent(exchange) else list(exchange, controller, port)
             "/rentals/return" -> {
-                cloud.returnMachines(exchange.body().fields().texts("herd", CloudCodec.MAX_RELEASED).map(::MachineId))
+                val machines = exchange.body().fields().texts("herd", CloudCodec.MAX_RELEASED).map(::MachineId)
+                cloud.returnMachines(machines)
+                repeats.onExecuted { cloud.returnMachines(machines) }
                 HttpStatus.OK to emptyMap()
             }
             else -> HttpStatus.NOT_FOUND to emptyMap()
@@ -68,7 +72,10 @@
             "error" to "unknown type",
         )
         return when (val outcome = cloud.rent(request)) {
-            is RentalOutcome.Rented -> HttpStatus.OK to mapOf("herd" to outcome.machines.map { it.value })
+            is RentalOutcome.Rented -> {
+                repeats.onExecuted { cloud.rent(request) }
+                HttpStatus.OK to mapOf("herd" to outcome.machines.map { it.value })
+            }
             RentalOutcome.NoCapacity, RentalOutcome.Refused, RentalOutcome.Unanswered ->
                 HttpStatus.UNAVAILABLE to mapOf("error" to "no capacity")
         }
--- a/src/scale/kotlin/oxbowlug/scale/HollowFleet.kt
+++ b/src/scale/kotlin/oxbowlug/scale/HollowFleet.kt
@@ -34,6 +34,9 @@
 
     /** Called for each heartbeat sent, with the controllers that can receive it; fault injection can send it again. */
     var onHeartbeatSent: (WorkerHeartbeat, List<HeartbeatTarget>) -> Unit = { _, _ -> }
+
+    /** Called after a worker executed direct commands, with what repeats them. */
+    var onDirectCommandsExecuted: (repeat: () -> Unit) -> Unit = {}
     private val submittedAt = HashMap<String, Long>()
 
     /** For urgent jobs: from the user's first attempt to submit until the start of each first attempt of a task. */
@@ -61,7 +64,7 @@
             time, this, { targets }, id, type, zone, spot, leaseMs, HeartbeatPacing.Protocol(heartbeatMs),
             onSent = { heartbeat -> onHeartbeatSent(heartbeat, targets) },
             endpoint = "${WorkerAddresses.host(number, 0)}:${topology.ports.workers}",
-        )
+        ).also { worker -> worker.onDirectCommandsExecuted = { onDirectCommandsExecuted(it) } }
     }
 
     fun registerJob(job: PlannedJob) {
--- a/src/scale/kotlin/oxbowlug/scale/LoopbackRun.kt
+++ b/src/scale/kotlin/oxbowlug/scale/LoopbackRun.kt
@@ -6,6 +6,7 @@
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.delay
 import oxbowlug.config.WriteLimits
+import oxbowlug.standin.RequestRepeats
 import oxbowlug.standin.SimStore
 import oxbowlug.standin.VirtualTime
 import oxbowlug.standin.isAttemptStored
@@ -33,19 +34,20 @@
         limits = WriteLimits(options.writeRps, FleetPlan.VALUE_KB, FleetPlan.TXN_OPS)
     }
     protected val stateFaults = StateFaults()
+    protected val repeats = RequestRepeats(time, options.seed)
     protected val plan = FleetPlan(options, topology)
     val fleet = HollowFleet(
         options, topology, time, plan, HeartbeatConnections(vertx, network, traffic, topology.ports.workers),
         if (checksStoredRecords) store::isAttemptStored else { _ -> true },
-    )
+    ).also { it.onDirectCommandsExecuted = repeats::onExecuted }
     val users = Users(vertx, time, topology, network, fleet.checker)
     val controllers: List<ControllerProcess> = ControllerFiles(options, topology, plan, classPath).processes()
     val clock = WallClock(vertx, time).also { network.beforeDelivery = it::catchUp }
 
     protected suspend fun listen() {
-        val state = StateServer(time, store, network, traffic, options.stateRps, stateFaults)
+        val state = StateServer(time, store, network, traffic, options.stateRps, stateFaults, repeats)
         val servers = state.start(vertx, topology) +
-            CloudServer(time, fleet.cloud, network, traffic, options.cloudRps).start(vertx, topology) +
+            CloudServer(time, fleet.cloud, network, traffic, options.cloudRps, repeats).start(vertx, topology) +
             PeerProxies(vertx, network, traffic).start(topology) +
             WorkerServer(network, traffic, topology, fleet.cloud::at).start(vertx)
         Future.all<Any>(servers).coAwait()
--- a/src/scale/kotlin/oxbowlug/scale/StateServer.kt
+++ b/src/scale/kotlin/oxbowlug/scale/StateServer.kt
@@ -6,6 +6,7 @@
 import oxbowlug.port.ChangesOutcome
 import oxbowlug.port.CommitOutcome
 import oxbowlug.port.LeaseRenewalOutcome
+import oxbowlug.standin.RequestRepeats
 import oxbowlug.standin.SimStore
 import oxbowlug.standin.VirtualTime
 import oxbowlug.wire.Entry
@@ -20,7 +21,8 @@
     private val network: Network,
     private val traffic: Traffic,
     rps: Double,
-    private val faults: StateFaults = StateFaults(),
+    private val faults: StateFaults,
+    private val repeats: RequestRepeats,
 ) {
     private val rateLimiter = RateLimiter(time, rps, burstS = 1)
 
@@ -66,14 +68,15 @@
             path == "/changes" -> changes(call)
             path == "/holds" -> {
                 traffic.stateLeaseCalls++
-                call.reply(
-                    HttpStatus.OK, mapOf("tether" to store.grantLease(exchange.body().fields().count("life_ms"))),
-                )
+                val ttlMs = exchange.body().fields().count("life_ms")
+                call.reply(HttpStatus.OK, mapOf("tether" to executeRepeatably { store.grantLease(ttlMs) }))
             }
             path.startsWith(LEASES_PATH) && path.endsWith(KEEP_ALIVE_SUFFIX) -> keepLeaseAlive(call, path)
             path.startsWith(LEASES_PATH) && method == HttpMethod.DELETE -> {
                 traffic.stateLeaseCalls++
-                path.substring(LEASES_PATH.length).toLongOrNull()?.let(store::revokeLease)
+                path.substring(LEASES_PATH.length).toLongOrNull()?.let { lease ->
+                    executeRepeatably { store.revokeLease(lease) }
+                }
                 call.reply(HttpStatus.OK, emptyMap())
             }
             else -> call.reply(HttpStatus.NOT_FOUND, mapOf("ledger" to store.revision))
@@ -104,14 +107,21 @@
             occurs(faults.delayedWrites) -> time.after(time.between(WRITE_DELAY_MS)) {
                 if (!store.down) store.commit(transaction)
             }
-            occurs(faults.lostWriteAnswers) -> store.commit(transaction)
-            occurs(faults.slowWriteAnswers) -> respond(store.commit(transaction)) { status, body ->
-                call.replyAfter(time.between(SLOW_WRITE_ANSWER_MS), status, body)
-            }
-            else -> respond(store.commit(transaction), call::reply)
+            occurs(faults.lostWriteAnswers) -> executeRepeatably { store.commit(transaction) }
+            occurs(faults.slowWriteAnswers) ->
+                respond(executeRepeatably { store.commit(transaction) }) { status, body ->
+                    call.replyAfter(time.between(SLOW_WRITE_ANSWER_MS), status, body)
+                }
+            else -> respond(executeRepeatably { store.commit(transaction) }, call::reply)
         }
     }
 
+    /** Executes [request] now, and again if the network repeats it. */
+    private fun <T> executeRepeatably(request: () -> T): T {
+        repeats.onExecuted { if (!store.down) request() }
+        return request()
+    }
+
     private fun occurs(probability: Double): Boolean = probability > 0.0 && time.chance(probability)
 
     private fun respond(outcome: CommitOutcome, reply: (Int, Map<String, Any?>) -> Unit) = when (outcome) {
@@ -153,7 +163,7 @@
     private fun keepLeaseAlive(call: Call, path: String) {
         traffic.stateLeaseCalls++
         val id = path.removeSuffix(KEEP_ALIVE_SUFFIX).substring(LEASES_PATH.length).toLongOrNull()
-        val renewed = id != null && store.keepLeaseAlive(id) == LeaseRenewalOutcome.RENEWED
+        val renewed = id != null && executeRepeatably { store.keepLeaseAlive(id) } == LeaseRenewalOutcome.RENEWED
         if (renewed) call.reply(HttpStatus.OK, mapOf("tether" to id)) else call.reply(HttpStatus.NOT_FOUND, emptyMap())
     }
 
--- a/src/scale/kotlin/oxbowlug/soak/Fault.kt
+++ b/src/scale/kotlin/oxbowlug/soak/Fault.kt
@@ -58,6 +58,9 @@
     /** Some workers get no answers to their heartbeats until their leases expire; then their heartbeats are lost. */
     LOSE_ANSWERS_THEN_HEARTBEATS,
 
+    /** Requests of the controllers that are executed meanwhile are executed once more, up to minutes later. */
+    REPEAT_REQUESTS,
+
     /** Users cancel running jobs. */
     CANCEL_RUNNING,
 
--- a/src/scale/kotlin/oxbowlug/soak/FaultSchedule.kt
+++ b/src/scale/kotlin/oxbowlug/soak/FaultSchedule.kt
@@ -22,11 +22,15 @@
         private const val MIN_DURATION_LEASES = 0.05
         private const val MAX_DURATION_LEASES = 2.5
         private val CANCELLATIONS = listOf(FaultKind.CANCEL_RUNNING, FaultKind.CANCEL_RUNNING_AND_HANG)
-        private val GROUP_FAULTS = FaultKind.entries - CANCELLATIONS.toSet()
+        private val GROUP_FAULTS = FaultKind.entries - CANCELLATIONS.toSet() - FaultKind.REPEAT_REQUESTS
+
+        /** Repeats are drawn from random numbers of their own, so that each seed keeps its other faults. */
+        private const val REPEATS_SEED = 0x5EED_0E9EA7L
 
         /** Draws [groups] groups that begin between [fromMs] and [toMs]. Workers' leases last [leaseMs]. */
         fun draw(seed: Long, groups: Int, fromMs: Long, toMs: Long, leaseMs: Long): FaultSchedule {
             val random = Random(seed)
+            val repeatsRandom = Random(seed xor REPEATS_SEED)
             val faults = ArrayList<Fault>()
             repeat(groups) {
                 val groupStartMs = random.nextLong(fromMs, toMs)
@@ -40,6 +44,9 @@
                 val cancellation = CANCELLATIONS[random.nextInt(CANCELLATIONS.size)]
                 val cancelAt = groupStartMs - CANCEL_LEAD_MS + random.nextLong(GROUP_SPREAD_MS + CANCEL_LEAD_MS)
                 faults.add(drawFault(random, cancellation, cancelAt, leaseMs))
+                // What is repeated was sent before the group's faults, or during them.
+                val repeatsAt = groupStartMs - repeatsRandom.nextLong(leaseMs)
+                faults.add(drawFault(repeatsRandom, FaultKind.REPEAT_REQUESTS, maxOf(0L, repeatsAt), leaseMs))
             }
             return FaultSchedule(seed, faults.sortedBy { it.atMs })
         }
--- a/src/scale/kotlin/oxbowlug/soak/RealFaults.kt
+++ b/src/scale/kotlin/oxbowlug/soak/RealFaults.kt
@@ -8,6 +8,7 @@
 import oxbowlug.scale.Network
 import oxbowlug.scale.StateFaults
 import oxbowlug.standin.HeartbeatTarget
+import oxbowlug.standin.RequestRepeats
 import oxbowlug.standin.SimStore
 import oxbowlug.standin.SimWorker
 import oxbowlug.standin.VirtualTime
@@ -21,6 +22,7 @@
     private val network: Network,
     private val store: SimStore,
     private val stateFaults: StateFaults,
+    private val repeats: RequestRepeats,
     private val fleet: HollowFleet,
     private val load: SoakLoad,
     private val controllers: List<ControllerProcess>,
@@ -88,6 +90,7 @@
             FaultKind.HANG_WORKERS -> selectWorkers(fault).forEach { it.hungUntil = time.nowMs + fault.forMs }
             FaultKind.LOSE_ANSWERS_THEN_HEARTBEATS ->
                 selectWorkers(fault).forEach { LostAnswers(time, leaseMs).begin(it) }
+            FaultKind.REPEAT_REQUESTS -> during(fault) { repeats.probability = if (it) FREQUENT else 0.0 }
             FaultKind.CANCEL_RUNNING -> load.cancelRunning(1 + fault.target % MAX_JOBS)
             FaultKind.CANCEL_RUNNING_AND_HANG ->
                 load.cancelRunning(1 + fault.target % MAX_JOBS).forEach { it.hungUntil = time.nowMs + fault.forMs }
--- a/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
@@ -22,7 +22,7 @@
     LoopbackRun(options, checksStoredRecords = true, classPath) {
     private val load = SoakLoad(time, plan, fleet, users, largeArrays)
     private val faults =
-        RealFaults(time, topology.zones, network, store, stateFaults, fleet, load, controllers, leaseMs)
+        RealFaults(time, topology.zones, network, store, stateFaults, repeats, fleet, load, controllers, leaseMs)
     val schedule = FaultSchedule.draw(options.seed, groups, FAULTS_FROM_MS, FAULTS_TO_MS, leaseMs)
 
     private val leaseMs: Long get() = (options.leaseS * MS_PER_S).toLong()
--- a/src/test/kotlin/oxbowlug/sim/SimulatedFaults.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimulatedFaults.kt
@@ -74,6 +74,7 @@
             FaultKind.HANG_WORKERS -> randomWorkers(fault).forEach { it.hungUntil = time.nowMs + fault.forMs }
             FaultKind.LOSE_ANSWERS_THEN_HEARTBEATS ->
                 randomWorkers(fault).forEach { LostAnswers(time, leaseMs).begin(it) }
+            FaultKind.REPEAT_REQUESTS -> during(fault) { simulation.repeats.probability = if (it) FREQUENT else 0.0 }
             FaultKind.CANCEL_RUNNING -> cancelRunning(fault)
             FaultKind.CANCEL_RUNNING_AND_HANG ->
                 cancelRunning(fault).forEach { it.hungUntil = time.nowMs + fault.forMs }
