Repeats last longer and hit most requests, so that the soak finds the former code at fault

Change: a drawn repeat lasts one to four leases and hits four of five requests; a passed seed prints how many were repeated.

--- a/src/scale/kotlin/oxbowlug/soak/FaultSchedule.kt
+++ b/src/scale/kotlin/oxbowlug/soak/FaultSchedule.kt
@@ -21,6 +21,8 @@
         /** Faults last this many worker leases. */
         private const val MIN_DURATION_LEASES = 0.05
         private const val MAX_DURATION_LEASES = 2.5
+        private const val MIN_REPEATS_LEASES = 1.0
+        private const val MAX_REPEATS_LEASES = 4.0
         private val CANCELLATIONS = listOf(FaultKind.CANCEL_RUNNING, FaultKind.CANCEL_RUNNING_AND_HANG)
         private val GROUP_FAULTS = FaultKind.entries - CANCELLATIONS.toSet() - FaultKind.REPEAT_REQUESTS
 
@@ -44,13 +46,18 @@
                 val cancellation = CANCELLATIONS[random.nextInt(CANCELLATIONS.size)]
                 val cancelAt = groupStartMs - CANCEL_LEAD_MS + random.nextLong(GROUP_SPREAD_MS + CANCEL_LEAD_MS)
                 faults.add(drawFault(random, cancellation, cancelAt, leaseMs))
-                // What is repeated was sent before the group's faults, or during them.
-                val repeatsAt = groupStartMs - repeatsRandom.nextLong(leaseMs)
-                faults.add(drawFault(repeatsRandom, FaultKind.REPEAT_REQUESTS, maxOf(0L, repeatsAt), leaseMs))
+                faults.add(drawRepeats(repeatsRandom, groupStartMs, leaseMs))
             }
             return FaultSchedule(seed, faults.sortedBy { it.atMs })
         }
 
+        /** What is repeated was sent before the group's faults or during them, so this begins up to a lease earlier. */
+        private fun drawRepeats(random: Random, groupStartMs: Long, leaseMs: Long): Fault {
+            val atMs = maxOf(0L, groupStartMs - random.nextLong(leaseMs))
+            val leases = random.nextDouble(MIN_REPEATS_LEASES, MAX_REPEATS_LEASES)
+            return Fault(FaultKind.REPEAT_REQUESTS, atMs, (leases * leaseMs).toLong(), target = 0)
+        }
+
         private fun drawFault(random: Random, kind: FaultKind, atMs: Long, leaseMs: Long): Fault {
             val leases = random.nextDouble(MIN_DURATION_LEASES, MAX_DURATION_LEASES)
             return Fault(kind, atMs, (leases * leaseMs).toLong(), random.nextInt(Short.MAX_VALUE.toInt()))
--- a/src/scale/kotlin/oxbowlug/soak/Main.kt
+++ b/src/scale/kotlin/oxbowlug/soak/Main.kt
@@ -79,7 +79,8 @@
         when (result) {
             is SoakResult.Passed ->
                 printLine(
-                    "seed $seed: passed, ${result.starts} starts, stand-ins late by up to ${result.maxStallMs} ms",
+                    "seed $seed: passed, ${result.starts} starts, ${result.repeats} repeats, " +
+                        "stand-ins late by up to ${result.maxStallMs} ms",
                 )
             is SoakResult.Failed -> printLine("seed $seed: FAILED\n" + details(seed, result.problems, run))
             is SoakResult.Invalid -> {
--- a/src/scale/kotlin/oxbowlug/soak/RealFaults.kt
+++ b/src/scale/kotlin/oxbowlug/soak/RealFaults.kt
@@ -90,7 +90,7 @@
             FaultKind.HANG_WORKERS -> selectWorkers(fault).forEach { it.hungUntil = time.nowMs + fault.forMs }
             FaultKind.LOSE_ANSWERS_THEN_HEARTBEATS ->
                 selectWorkers(fault).forEach { LostAnswers(time, leaseMs).begin(it) }
-            FaultKind.REPEAT_REQUESTS -> during(fault) { repeats.probability = if (it) FREQUENT else 0.0 }
+            FaultKind.REPEAT_REQUESTS -> during(fault) { repeats.probability = if (it) MOST else 0.0 }
             FaultKind.CANCEL_RUNNING -> load.cancelRunning(1 + fault.target % MAX_JOBS)
             FaultKind.CANCEL_RUNNING_AND_HANG ->
                 load.cancelRunning(1 + fault.target % MAX_JOBS).forEach { it.hungUntil = time.nowMs + fault.forMs }
@@ -170,6 +170,9 @@
     private companion object {
         const val LEADER_POLL_MS = 50L
 
+        /** Probability that a request is repeated. */
+        const val MOST = 0.8
+
         /** Probability that a fault affects one write. */
         const val FREQUENT = 0.4
 
--- a/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
+++ b/src/scale/kotlin/oxbowlug/soak/SoakRun.kt
@@ -8,8 +8,8 @@
 
 /** The result of one seed. */
 internal sealed interface SoakResult {
-    /** No rule was broken; [starts] tasks were started. */
-    data class Passed(val starts: Int, val maxStallMs: Long) : SoakResult
+    /** No rule was broken; [starts] tasks were started, and [repeats] requests were executed once more. */
+    data class Passed(val starts: Int, val repeats: Int, val maxStallMs: Long) : SoakResult
 
     data class Failed(val problems: List<String>, val maxStallMs: Long) : SoakResult
 
@@ -72,7 +72,7 @@
             maxStallMs > leaseMs / MAX_STALL_LEASE_DIVISOR -> SoakResult.Invalid(maxStallMs, problems)
             problems.isNotEmpty() -> SoakResult.Failed(problems, maxStallMs)
             checker.starts == 0 -> SoakResult.Failed(listOf("nothing_ran"), maxStallMs)
-            else -> SoakResult.Passed(checker.starts, maxStallMs)
+            else -> SoakResult.Passed(checker.starts, repeats.executed, maxStallMs)
         }
     }
 
--- a/src/test/kotlin/oxbowlug/cluster/ClusterStateTest.kt
+++ b/src/test/kotlin/oxbowlug/cluster/ClusterStateTest.kt
@@ -322,7 +322,11 @@
             assertEquals(emptyList<WorkerCommand>(), fresh.cluster.directCommands(host, fresh.clock.now), cause.name)
             assertEquals(CommandBatch(FencingToken(6), forgets), fresh.answer(), cause.name)
             assertEquals(CommandBatch(FencingToken(6), forgets), fresh.answer(), "$cause: the first answer was lost")
-            assertEquals(forgets, fresh.cluster.directCommands(host, fresh.clock.now), "$cause: sent with the new token")
+            assertEquals(
+                forgets,
+                fresh.cluster.directCommands(host, fresh.clock.now),
+                "$cause: sent with the new token",
+            )
         }
     }
 
--- a/src/test/kotlin/oxbowlug/commit/JobRecordWriterTest.kt
+++ b/src/test/kotlin/oxbowlug/commit/JobRecordWriterTest.kt
@@ -72,7 +72,13 @@
     }
 
     private val cluster =
-        ClusterState(FencingTokenRange.after(0), clock, timing, DemandForecast(settings, 60_000), invariants = failingInvariants)
+        ClusterState(
+            FencingTokenRange.after(0),
+            clock,
+            timing,
+            DemandForecast(settings, 60_000),
+            invariants = failingInvariants,
+        )
     private lateinit var writer: JobRecordWriter
 
     private fun put(
--- a/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
+++ b/src/test/kotlin/oxbowlug/scheduling/LargeArraysTest.kt
@@ -123,7 +123,18 @@
         fun bootMachines() {
             for (id in cluster.machines.keys.toList()) {
                 val heartbeat =
-                    WorkerHeartbeat(id, "10.1.0.1:9000", type.name, zone, false, 1, 1, cluster.tokens.first, null, emptyList())
+                    WorkerHeartbeat(
+                        id,
+                        "10.1.0.1:9000",
+                        type.name,
+                        zone,
+                        false,
+                        1,
+                        1,
+                        cluster.tokens.first,
+                        null,
+                        emptyList(),
+                    )
                 cluster.applyHeartbeat(heartbeat, isHeartbeat = true)
             }
         }
--- a/src/test/kotlin/oxbowlug/sim/SimulatedFaults.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimulatedFaults.kt
@@ -74,7 +74,7 @@
             FaultKind.HANG_WORKERS -> randomWorkers(fault).forEach { it.hungUntil = time.nowMs + fault.forMs }
             FaultKind.LOSE_ANSWERS_THEN_HEARTBEATS ->
                 randomWorkers(fault).forEach { LostAnswers(time, leaseMs).begin(it) }
-            FaultKind.REPEAT_REQUESTS -> during(fault) { simulation.repeats.probability = if (it) FREQUENT else 0.0 }
+            FaultKind.REPEAT_REQUESTS -> during(fault) { simulation.repeats.probability = if (it) MOST else 0.0 }
             FaultKind.CANCEL_RUNNING -> cancelRunning(fault)
             FaultKind.CANCEL_RUNNING_AND_HANG ->
                 cancelRunning(fault).forEach { it.hungUntil = time.nowMs + fault.forMs }
@@ -120,6 +120,7 @@
     private companion object {
         /** Probabilities with which a fault hits a message or a transaction. */
         const val FREQUENT = 0.4
+        const val MOST = 0.8
         const val RARE = 0.1
         const val MAX_WORKERS = 4
         const val MAX_JOBS = 6
--- a/src/test/kotlin/oxbowlug/sim/TaskChurnTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/TaskChurnTest.kt
@@ -74,8 +74,16 @@
             maxDirectStarts = maxOf(maxDirectStarts, directStarts)
         }
 
-        val directStarts: Int get() = simulation.nodes.single().status?.directStarts ?: 0
-        val tokenAdvances: Long get() = simulation.nodes.single().status?.tokenAdvances ?: 0
+        val directStarts: Int get() =
+            simulation.nodes
+                .single()
+                .status
+                ?.directStarts ?: 0
+        val tokenAdvances: Long get() =
+            simulation.nodes
+                .single()
+                .status
+                ?.tokenAdvances ?: 0
     }
 
     /** What one heartbeat can hold: the leader gives a machine no more tasks, and remembers no more starts. */
@@ -87,8 +95,17 @@
         assertTrue(churn.worker.alive, "the machine was returned")
         assertEquals(0, churn.worker.tasks.size, "attempts that the worker still knows")
         assertEquals(0, churn.directStarts, "starts that the leader still retains")
-        assertEquals(emptyList<String>(), churn.simulation.checker.ruleViolations.take(3))
-        assertEquals(emptyList<String>(), churn.simulation.checker.unfinished().take(3))
+        assertEquals(
+            emptyList<String>(),
+            churn.simulation.checker.ruleViolations
+                .take(3),
+        )
+        assertEquals(
+            emptyList<String>(),
+            churn.simulation.checker
+                .unfinished()
+                .take(3),
+        )
     }
 
     @Test
