Tests of repeated requests on the related paths

Change: RepeatedRequestsTest: all executed requests are repeated, 0.2 s to 120 s later, while leaders crash and restart; the transactions of controllers that have ended are sent again and change no stored value; transactions without a condition are registrations, which end with their lease, and format notes, which are the same in each life; leases of workers with a raised token are renewed in an outage, after a restart of all, and by a delegate. LeaseRenewalDelegateTest: the token of a delegate.

--- a/src/test/kotlin/oxbowlug/lease/LeaseRenewalDelegateTest.kt
+++ b/src/test/kotlin/oxbowlug/lease/LeaseRenewalDelegateTest.kt
@@ -203,6 +203,21 @@
         assertNull(renewalDelegate.renew(heartbeat), "the state service is reached again")
     }
 
+    @Test
+    fun `a delegate renews a lease with the token that the worker has seen, if it is one of the leader's`() {
+        put(Keys.DELEGATES, DelegateAssignments(FencingToken(3), mapOf(zone to delegate), 0).encode())
+        val cache = cache()
+        put(Keys.LEADERSHIP, LeadershipRecord(9, FencingToken(3), leader, 0).encode())
+        cache.catchUp {}
+        val renewalDelegate = LeaseRenewalDelegate(delegate, zone, Regions(), clock, timing, cache)
+        isStateUnreachable = true
+        renewalDelegate.onHeartbeat(PeerHeartbeat(leader, 9, leader, reachesState = true, sendTimeMs = 7))
+        clock.now += timing.delegateActivationMs
+        val renewedWith =
+            listOf(2L, 3L, 5L, 9L, 10L).associateWith { renewalDelegate.renew(workerHeartbeat(zone, it))?.value }
+        assertEquals(mapOf(2L to 3L, 3L to 3L, 5L to 5L, 9L to 9L, 10L to null), renewedWith)
+    }
+
     private val southRegion = Regions(mapOf("south" to listOf(zone, Zone("c"), Zone("d"))))
 
     @Test
--- a/src/test/kotlin/oxbowlug/sim/RepeatedRequestsTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/RepeatedRequestsTest.kt
@@ -3,12 +3,17 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import oxbowlug.port.CommitOutcome
+import oxbowlug.record.DataFormat
+import oxbowlug.record.Keys
 import oxbowlug.standin.SimWorker
 import oxbowlug.wire.AttemptId
+import oxbowlug.wire.Change
 import oxbowlug.wire.JobKind
 import oxbowlug.wire.JobSpec
 import oxbowlug.wire.Priority
 import oxbowlug.wire.TeamName
+import oxbowlug.wire.Transaction
 import oxbowlug.wire.TypeName
 
 /** Requests of the controllers that were executed and answered are repeated by the network. */
@@ -133,7 +138,120 @@
         }
     }
 
+    /** What may happen to the controllers after workers got a higher token than their leader began with. */
+    private enum class Trouble {
+        STATE_OUTAGE,
+        ALL_RESTART,
+        OTHER_ZONE_CUT,
+    }
+
+    private fun Simulation.begin(trouble: Trouble) {
+        when (trouble) {
+            Trouble.STATE_OUTAGE -> store.down = true
+            Trouble.ALL_RESTART ->
+                nodes.forEach { node ->
+                    node.crash()
+                    time.after(2_000) { node.start() }
+                }
+            Trouble.OTHER_ZONE_CUT -> activeFaults.isolatedZones.add(zones.first { it != leader.zone })
+        }
+    }
+
+    @Test
+    fun `leases are renewed under a raised token in an outage, after a restart of all, and by a delegate`() {
+        for (trouble in Trouble.entries) {
+            for (seed in SEEDS) {
+                val displacement = Displacement(seed)
+                displacement.execute()
+                val simulation = displacement.simulation
+                val raised = simulation.nodes.sumOf { it.status?.tokenAdvances ?: 0 }
+                assertTrue(raised > 0, "$trouble, seed $seed: no token was raised")
+                simulation.begin(trouble)
+                simulation.run(simulation.time.nowMs + TROUBLE_MS)
+                val workers = simulation.cloud.workers
+                assertEquals(2, workers.size, "$trouble, seed $seed: a machine was returned")
+                assertEquals(0, workers.sumOf { it.endedByLease }, "$trouble, seed $seed: tasks ended with a lease")
+                assertEquals(emptyList<String>(), simulation.checker.ruleViolations.take(3), "$trouble, seed $seed")
+            }
+        }
+    }
+
+    /** Random jobs while leaders crash, some of which are restarted within a fraction of a second. */
+    private fun simulationWithCrashes(seed: Long): Simulation {
+        val simulation = Simulation(seed, parameters = SimulationParameters(nodes = 5, initialMachines = 8))
+        simulation.submitRandomJobs(everyMs = 1_500, untilMs = SUBMIT_UNTIL_MS)
+        simulation.submitPipelines(everyMs = 8_000, untilMs = SUBMIT_UNTIL_MS)
+        for (crashAtMs in FIRST_CRASH_MS..SUBMIT_UNTIL_MS step CRASH_INTERVAL_MS) {
+            simulation.time.after(crashAtMs) {
+                val leader = simulation.leader
+                if (leader.isUp) {
+                    leader.crash()
+                    simulation.time.after(simulation.time.between(RESTART_AFTER_MS)) { leader.start() }
+                }
+            }
+        }
+        return simulation
+    }
+
+    @Test
+    fun `no rule is broken when each executed request is repeated while leaders crash and restart`() {
+        for (seed in SEEDS) {
+            val simulation = simulationWithCrashes(seed)
+            simulation.repeats.probability = 1.0
+            simulation.run(END_MS)
+            assertTrue(simulation.repeats.executed > MIN_REPEATS, "${simulation.repeats.executed} repeats")
+            assertEquals(emptyList<String>(), simulation.checker.ruleViolations.take(3), "seed $seed")
+            assertEquals(emptyList<String>(), simulation.checker.unfinished(), "seed $seed: not served")
+        }
+    }
+
+    @Test
+    fun `no transaction of a controller that has ended changes anything when it is repeated`() {
+        for (seed in SEEDS) {
+            val simulation = simulationWithCrashes(seed)
+            val sent = ArrayList<Transaction>()
+            for (node in simulation.nodes) node.onTransaction = { if (it.changes.isNotEmpty()) sent.add(it) }
+            simulation.run(SUBMIT_UNTIL_MS)
+            simulation.nodes.forEach { it.crash() }
+            simulation.run(SUBMIT_UNTIL_MS + STATE_LEASES_ENDED_MS)
+            val keys = sent.flatMap { it.changes }.map { it.key }.toSet()
+            val valuesBefore = keys.associateWith { simulation.store.entry(it)?.value }
+            val applied = sent.filter { simulation.store.commit(it) is CommitOutcome.Applied }
+            assertTrue(sent.size > MIN_TRANSACTIONS, "${sent.size} transactions")
+            assertEquals(emptyList<Transaction>(), applied.filter { it.conditions.isNotEmpty() }, "seed $seed")
+            assertEquals(valuesBefore, keys.associateWith { simulation.store.entry(it)?.value }, "seed $seed")
+        }
+    }
+
+    @Test
+    fun `a transaction without a condition only registers a controller or notes the format that it reads`() {
+        val simulation = simulationWithCrashes(seed = 1)
+        val unconditional = ArrayList<Change>()
+        for (node in simulation.nodes) {
+            node.onTransaction = { if (it.conditions.isEmpty()) unconditional.addAll(it.changes) }
+        }
+        simulation.run(SUBMIT_UNTIL_MS)
+        assertTrue(unconditional.isNotEmpty(), "no controller has registered")
+        // The registration ends with its lease. The note is the same whenever a controller of this version writes it.
+        val notes = simulation.nodes.map { Change.Put(Keys.format(it.label), DataFormat.encode(DataFormat.NEWEST)) }
+        val others = unconditional.filterNot { it is Change.Put && it.lease != null || it in notes }
+        assertEquals(emptyList<Change>(), others)
+    }
+
     private companion object {
         val SEEDS = 1L..3L
+
+        /** Three leases of a worker. */
+        const val TROUBLE_MS = 30_000L
+        const val FIRST_CRASH_MS = 20_000L
+        const val CRASH_INTERVAL_MS = 12_000L
+        val RESTART_AFTER_MS = 200L..6_000L
+        const val SUBMIT_UNTIL_MS = 80_000L
+        const val END_MS = 320_000L
+        const val MIN_REPEATS = 1_000
+        const val MIN_TRANSACTIONS = 100
+
+        /** Longer than a controller's lease in the state service. */
+        const val STATE_LEASES_ENDED_MS = 10_000L
     }
 }
--- a/src/test/kotlin/oxbowlug/sim/SimNode.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimNode.kt
@@ -134,6 +134,9 @@
     var priced = 0L
         private set
 
+    /** Called with each transaction that this controller sends. */
+    var onTransaction: (Transaction) -> Unit = {}
+
     /** Partitioned from the state service. */
     var withoutState = false
 
@@ -353,6 +356,7 @@
             transaction: Transaction,
             done: (CommitOutcome) -> Unit,
         ) {
+            onTransaction(transaction)
             if (runsOldVersion && transaction.changes.any { OldVersion.isUnknownKey(it.key) }) {
                 return complete(time.between(1, 10), CommitOutcome.Applied(0), done)
             }
