--- a/src/test/kotlin/oxbowlug/sim/BehaviourTraceTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/BehaviourTraceTest.kt
@@ -81,24 +81,6 @@
         val SEEDS = 1L..3L
         const val LEASE_MS = 10_000L
 
-        fun Simulation.at(
-            ms: Long,
-            action: Simulation.() -> Unit,
-        ) = time.after(ms) { action() }
-
-        fun Simulation.restart(
-            node: SimNode,
-            forMs: Long,
-            isOldVersion: Boolean = false,
-        ) {
-            if (!node.isUp) return
-            node.crash()
-            time.after(forMs) {
-                node.isOldVersion = isOldVersion
-                node.start()
-            }
-        }
-
         /** Within 200 ms users cancel up to [count] services that are running at [atMs]. */
         fun Simulation.cancelServices(
             atMs: Long,
--- a/src/test/kotlin/oxbowlug/sim/LargeFleetFaultsTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/LargeFleetFaultsTest.kt
@@ -58,30 +58,6 @@
         private val SLOW_ANSWER_SEEDS = 4L..6L
         private val NEXT_LIMITS = WriteLimits(writeRps = 30.0, valueKb = 0.58, txnOps = 4)
 
-        private fun Simulation.at(
-            ms: Long,
-            action: Simulation.() -> Unit,
-        ) = time.after(ms) { action() }
-
-        private fun Simulation.during(
-            atMs: Long,
-            forMs: Long,
-            begin: () -> Unit,
-            end: () -> Unit,
-        ) {
-            at(atMs) { begin() }
-            at(atMs + forMs) { end() }
-        }
-
-        private fun Simulation.crashLeader(atMs: Long) =
-            at(atMs) {
-                val node = leader
-                if (node.isUp) {
-                    node.crash()
-                    time.after(3_000) { node.start() }
-                }
-            }
-
         private fun Simulation.slowStateService() =
             during(
                 15_000,
--- a/src/test/kotlin/oxbowlug/sim/PipelinesTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/PipelinesTest.kt
@@ -55,31 +55,8 @@
         /** The value size is less than that of a record of a stage on several machines. */
         private val NEXT_LIMITS = WriteLimits(writeRps = 30.0, valueKb = 0.58, txnOps = 4)
 
-        private fun Simulation.at(
-            ms: Long,
-            action: Simulation.() -> Unit,
-        ) = time.after(ms) { action() }
-
         private fun Simulation.lowerLimits(atMs: Long) = at(atMs) { store.limits = NEXT_LIMITS }
 
-        private fun Simulation.restart(
-            node: SimNode,
-            forMs: Long,
-            isOldVersion: Boolean = false,
-        ) {
-            if (!node.isUp) return
-            node.crash()
-            time.after(forMs) {
-                node.isOldVersion = isOldVersion
-                node.start()
-            }
-        }
-
-        private fun Simulation.crashLeader(
-            atMs: Long,
-            forMs: Long = 3_000,
-        ) = at(atMs) { restart(leader, forMs) }
-
         /** Restarts controllers on the new version in the order of [indexes], [batchSize] at a time. */
         private fun Simulation.upgrade(
             fromMs: Long,
@@ -113,16 +90,6 @@
             }
         }
 
-        private fun Simulation.during(
-            atMs: Long,
-            forMs: Long,
-            begin: () -> Unit,
-            end: () -> Unit,
-        ) {
-            at(atMs) { begin() }
-            at(atMs + forMs) { end() }
-        }
-
         private fun Simulation.unansweredWrites(
             atMs: Long,
             forMs: Long,
--- a/src/test/kotlin/oxbowlug/sim/RepeatedRequestsTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/RepeatedRequestsTest.kt
@@ -149,10 +149,7 @@
         when (trouble) {
             Trouble.STATE_OUTAGE -> store.down = true
             Trouble.ALL_RESTART ->
-                nodes.forEach { node ->
-                    node.crash()
-                    time.after(2_000) { node.start() }
-                }
+                nodes.forEach { restart(it, forMs = 2_000) }
             Trouble.OTHER_ZONE_CUT -> activeFaults.isolatedZones.add(zones.first { it != leader.zone })
         }
     }
@@ -182,13 +179,7 @@
         simulation.submitRandomJobs(everyMs = 1_500, untilMs = SUBMIT_UNTIL_MS)
         simulation.submitPipelines(everyMs = 8_000, untilMs = SUBMIT_UNTIL_MS)
         for (crashAtMs in FIRST_CRASH_MS..SUBMIT_UNTIL_MS step CRASH_INTERVAL_MS) {
-            simulation.time.after(crashAtMs) {
-                val leader = simulation.leader
-                if (leader.isUp) {
-                    leader.crash()
-                    simulation.time.after(simulation.time.between(RESTART_AFTER_MS)) { leader.start() }
-                }
-            }
+            simulation.crashLeader(crashAtMs, forMs = simulation.time.between(RESTART_AFTER_MS))
         }
         return simulation
     }
--- a/src/test/kotlin/oxbowlug/sim/SimulationTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/SimulationTest.kt
@@ -127,11 +127,6 @@
     companion object {
         private val SERVICE_DURATION_MS = 60_000L..90_000L
 
-        private fun Simulation.at(
-            ms: Long,
-            action: Simulation.() -> Unit,
-        ) = time.after(ms) { action() }
-
         private fun Simulation.crash(
             index: Int,
             atMs: Long,
@@ -146,17 +141,6 @@
             return nodes.indexOfFirst { it.label == label }.coerceAtLeast(0)
         }
 
-        private fun Simulation.crashLeader(
-            atMs: Long,
-            forMs: Long,
-        ) = at(atMs) {
-            val node = nodes[leaderIndex()]
-            if (node.isUp) {
-                node.crash()
-                time.after(forMs) { node.start() }
-            }
-        }
-
         /** Loses and delays messages with these probabilities until 110 s. */
         private fun Simulation.lossyNetwork(
             lossProbability: Double,
@@ -170,16 +154,6 @@
             }
         }
 
-        private fun Simulation.during(
-            atMs: Long,
-            forMs: Long,
-            begin: () -> Unit,
-            end: () -> Unit,
-        ) {
-            at(atMs) { begin() }
-            at(atMs + forMs) { end() }
-        }
-
         private fun Simulation.delayedWrites(
             probability: Double,
             atMs: Long,
