--- a/src/main/kotlin/oxbowlug/cluster/ClusterState.kt
+++ b/src/main/kotlin/oxbowlug/cluster/ClusterState.kt
@@ -39,7 +39,7 @@
     private val quotas = TeamQuotas(teams, timing)
     private val jobReconciliation = JobReconciliation(this, clock, timing, dependencyState)
     private val heartbeatReconciliation = HeartbeatReconciliation(this, clock, timing, quotas, invariants)
-    private val forgetCommands = ForgetCommands(tokens, timing) { jobs[it.task.job]?.mayBeStored(it) ?: false }
+    private val forgetCommands = ForgetCommands(tokens) { jobs[it.task.job]?.mayBeStored(it) ?: false }
     private val workerCommands = WorkerCommands(this, timing, quotas, forgetCommands)
     val jobs = LinkedHashMap<JobId, Job>()
     val machines = LinkedHashMap<MachineId, Machine>()
--- a/src/main/kotlin/oxbowlug/cluster/ForgetCommands.kt
+++ b/src/main/kotlin/oxbowlug/cluster/ForgetCommands.kt
@@ -2,7 +2,6 @@
 
 import oxbowlug.fencing.CommandBatch
 import oxbowlug.fencing.FencingTokenRange
-import oxbowlug.timing.Timing
 import oxbowlug.wire.AttemptId
 import oxbowlug.wire.FencingToken
 import oxbowlug.wire.ReportSize
@@ -14,11 +13,10 @@
  * have it, and no direct start of it may be executed any more, not even one that was executed before and is repeated.
  * Since the worker compares tokens only, such an attempt is forgotten together with a higher fencing token: the worker
  * rejects earlier direct commands from the same answer on. A higher token makes the worker send one more heartbeat, so
- * it is issued once in [Timing.tokenAdvanceIntervalMs], or when exited attempts fill too much of the heartbeats.
+ * it is issued once a worker lease, or when exited attempts fill too much of the heartbeats.
  */
 internal class ForgetCommands(
     private val tokens: FencingTokenRange,
-    private val timing: Timing,
     private val mayBeStored: (AttemptId) -> Boolean,
 ) {
     /** The attempts that the worker may forget without a higher token. */
--- a/src/main/kotlin/oxbowlug/cluster/Machine.kt
+++ b/src/main/kotlin/oxbowlug/cluster/Machine.kt
@@ -91,8 +91,8 @@
     }
 
     /**
-     * Whether the worker's newest message had a token of the current leader. The worker then refuses commands of earlier
-     * leaders, so its heartbeats name every attempt that those have started.
+     * Whether the worker's newest message had a token of the current leader. The worker then refuses commands of
+     * earlier leaders, so its heartbeats name every attempt that those have started.
      */
     fun hasAcknowledgedToken(currentTokens: FencingTokenRange): Boolean =
         lastContactAt != null && token in currentTokens && !isLeaseExpired
--- a/src/main/kotlin/oxbowlug/election/LeaderElection.kt
+++ b/src/main/kotlin/oxbowlug/election/LeaderElection.kt
@@ -181,8 +181,8 @@
         Change.Put(memberKey, mapOf("label" to self.label) + DataFormat.encode(DataFormat.NEWEST), heldLease)
 
     /**
-     * Tries to become leader by writing a leadership record with the next fencing tokens. If [registrationLease] isn't null, the
-     * same transaction registers this incarnation under that lease; null means that it is already registered.
+     * Tries to become leader by writing a leadership record with the next fencing tokens. If [registrationLease] isn't
+     * null, the same transaction registers this incarnation under that lease; null means that it is already registered.
      */
     private fun campaign(
         now: Long,
--- a/src/main/kotlin/oxbowlug/fencing/FencingTokenRange.kt
+++ b/src/main/kotlin/oxbowlug/fencing/FencingTokenRange.kt
@@ -22,7 +22,7 @@
         /** Tokens of a leader: at one a second for each worker they last longer than any leader. */
         const val SIZE = 1L shl 32
 
-        /** The range of a leader whose predecessors, and all that was heard of others, used no token above [highest]. */
+        /** The range of a leader whose predecessors used no token above [highest]. */
         fun after(highest: Long) = FencingTokenRange(FencingToken(highest + 1), FencingToken(highest + SIZE))
     }
 }
--- a/src/main/kotlin/oxbowlug/fencing/IssuedToken.kt
+++ b/src/main/kotlin/oxbowlug/fencing/IssuedToken.kt
@@ -2,7 +2,7 @@
 
 import oxbowlug.wire.FencingToken
 
-/** The fencing token that answers and commands to one worker have. It never falls within a term, and begins at [first]. */
+/** The fencing token of answers and commands to one worker. It begins at [first], and never falls within a term. */
 internal class IssuedToken(
     first: FencingToken,
 ) {
--- a/src/main/kotlin/oxbowlug/leader/CommandLog.kt
+++ b/src/main/kotlin/oxbowlug/leader/CommandLog.kt
@@ -58,7 +58,8 @@
         for (command in commands) {
             if (command !is WorkerCommand.Forget) continue
             log.debug(
-                "attempt forgotten: machine={} incarnation={} token={} attempt={} reason={} directStartToken={} sentIn={}",
+                "attempt forgotten: machine={} incarnation={} token={} attempt={} reason={} directStartToken={} " +
+                    "sentIn={}",
                 machine.id,
                 machine.position.incarnation,
                 token,
--- a/src/main/kotlin/oxbowlug/scheduling/AvailableMachines.kt
+++ b/src/main/kotlin/oxbowlug/scheduling/AvailableMachines.kt
@@ -71,7 +71,7 @@
         val lastContactAt = machine.lastContactAt
         if (lastContactAt != null) {
             if (now - lastContactAt > timing.heartbeatLateMs) return null
-            // Until the worker's heartbeat carries a token of this leader, it may still execute a former leader's starts.
+            // Until the worker's heartbeat carries a token of this leader, it may execute a former leader's starts.
             return if (machine.token in cluster.tokens) 0.0 else MIN_DELAY_S
         }
         if (machine.listed == MachineState.RUNNING) {
--- a/src/scale/kotlin/oxbowlug/standin/SimWorker.kt
+++ b/src/scale/kotlin/oxbowlug/standin/SimWorker.kt
@@ -283,40 +283,33 @@
 
     /**
      * Receives direct commands; a hung machine executes them when it resumes. [answer] gets the worker's state and
-     * whether the commands were valid. It is not called while the worker is unresponsive.
+     * whether the commands were valid. It is not called while the worker is unresponsive, nor for a repeat.
      */
     fun direct(
         newToken: FencingToken,
         forIncarnation: Long,
         commands: List<WorkerCommand>,
+        isRepeat: Boolean = false,
         answer: (WorkerHeartbeat, Boolean) -> Unit,
     ) {
         whenNotHung {
             if (time.nowMs >= unresponsiveUntil) {
-                val valid = executeDirect(newToken, forIncarnation, commands)
+                if (time.nowMs > leaseStartedAt + leaseMs) expireLease()
+                val valid = newToken >= token && forIncarnation == incarnation
                 if (valid) {
+                    updateToken(newToken)
+                    commands.forEach(::execute)
+                }
+                if (valid && !isRepeat) {
                     onDirectCommandsExecuted {
-                        whenNotHung {
-                            if (time.nowMs >= unresponsiveUntil) executeDirect(newToken, forIncarnation, commands)
-                        }
+                        direct(newToken, forIncarnation, commands, isRepeat = true) { _, _ -> }
                     }
                 }
-                answer(newHeartbeat(), valid)
+                if (!isRepeat) answer(newHeartbeat(), valid)
             }
         }
     }
 
-    /** Returns whether token and incarnation were valid; otherwise nothing is executed. */
-    private fun executeDirect(newToken: FencingToken, forIncarnation: Long, commands: List<WorkerCommand>): Boolean {
-        if (time.nowMs > leaseStartedAt + leaseMs) expireLease()
-        val valid = newToken >= token && forIncarnation == incarnation
-        if (valid) {
-            updateToken(newToken)
-            commands.forEach(::execute)
-        }
-        return valid
-    }
-
     /** Answers a status query. [answer] is not called while the worker is unresponsive. */
     fun status(answer: (WorkerHeartbeat) -> Unit) =
         whenNotHung { if (time.nowMs >= unresponsiveUntil) answer(newHeartbeat()) }
--- a/src/test/kotlin/oxbowlug/sim/RepeatedRequestsTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/RepeatedRequestsTest.kt
@@ -18,7 +18,7 @@
 
 /** Requests of the controllers that were executed and answered are repeated by the network. */
 internal class RepeatedRequestsTest {
-    /** Two full machines, on which an urgent task displaces a task of an array, which continues on the other machine. */
+    /** Two full machines: an urgent task displaces one of an array, which continues on the other machine. */
     private class Displacement(
         seed: Long,
     ) {
--- a/src/test/kotlin/oxbowlug/sim/TaskChurnTest.kt
+++ b/src/test/kotlin/oxbowlug/sim/TaskChurnTest.kt
@@ -134,7 +134,7 @@
         const val TASK_MS = 400L
         const val WARM_UP_MS = 10_000L
 
-        /** Longer than a lease, so that everything can be forgotten, and shorter than until the idle machine's release. */
+        /** Longer than a lease, so that all can be forgotten, and shorter than until the idle machine's release. */
         const val COOL_DOWN_MS = 14_000L
     }
 }
